The whole path, thin: callers, entry VMs, leaves, platform stand-in

What stands: the blackboard and its controllers, the caller's HTTP interface, leaf calls with a bounded pool for each leaf, the peer protocol, membership by probing, the configuration through the platform's store, claims for requests that run at most once, the operators' client, and the stand-ins.

Found on the way: the first calls all ended as late. Ruled out: the leaf's protocol (a call by hand was answered) and the lane (30 calls were sent). The pool had only connections whose first probe was out: the HTTP parser answers "do not keep alive" once a body has ended, so each connection was closed after one answer.

--- /dev/null
+++ b/trefoilpier/base/__init__.py
@@ -0,0 +1,30 @@
+"""Clock, result codes, events, logs and hashing that all areas share."""
+
+from trefoilpier.base.clock import Clock, ReactorClock, Timer, VirtualClock
+from trefoilpier.base.events import Event, EventLog, NullEventLog
+from trefoilpier.base.hashing import content_hash, rank_nodes, stable_hash
+from trefoilpier.base.log import (
+    LoguruEventLog,
+    configure_logging,
+    observe_twisted,
+)
+from trefoilpier.base.results import Failure, Ran, ResultCode
+
+__all__ = [
+    "Clock",
+    "Event",
+    "EventLog",
+    "Failure",
+    "LoguruEventLog",
+    "NullEventLog",
+    "Ran",
+    "ReactorClock",
+    "ResultCode",
+    "Timer",
+    "VirtualClock",
+    "configure_logging",
+    "content_hash",
+    "observe_twisted",
+    "rank_nodes",
+    "stable_hash",
+]
--- /dev/null
+++ b/trefoilpier/base/events.py
@@ -0,0 +1,85 @@
+"""Numbered log events. ``docs/EVENTS.md`` lists every one."""
+
+import abc
+import enum
+from typing import Any
+
+
+class Event(enum.Enum):
+    """Each event's number, level and name."""
+
+    STARTED = ("TPE-1001", "INFO", "node started")
+    READY = ("TPE-1002", "INFO", "node ready")
+    DRAIN_STARTED = ("TPE-1003", "INFO", "drain started")
+    STOPPED = ("TPE-1004", "INFO", "node stopped")
+    SETTINGS_REJECTED = ("TPE-1005", "ERROR", "settings rejected")
+    LOOP_STALLED = ("TPE-1006", "WARNING", "event loop stalled")
+    QUERY_DECIDED = ("TPE-2001", "INFO", "query routed")
+    QUERY_REFUSED = ("TPE-2002", "INFO", "query refused")
+    SUBQUERY_DECIDED = ("TPE-2003", "INFO", "sub-query gathered")
+    SNAPSHOT_RESTARTED = ("TPE-2004", "WARNING", "query restarted")
+    PLACEMENT_CHANGED = ("TPE-2005", "INFO", "block placement changed")
+    LEAF_UP = ("TPE-3001", "INFO", "leaf up")
+    LEAF_DOWN = ("TPE-3002", "WARNING", "leaf down")
+    LEAF_DRAINING = ("TPE-3003", "INFO", "leaf draining")
+    LEAF_SILENT = ("TPE-3004", "WARNING", "silent connection retired")
+    LEAF_WRONG_ANSWER = ("TPE-3005", "WARNING", "leaf answer rejected")
+    CONFIG_IN_FORCE = ("TPE-4001", "INFO", "configuration in force")
+    CONFIG_REJECTED = ("TPE-4002", "ERROR", "configuration rejected")
+    CONFIG_STALE_READ = ("TPE-4003", "WARNING", "older version ignored")
+    STORE_DOWN = ("TPE-4004", "WARNING", "store unavailable")
+    STORE_UP = ("TPE-4005", "INFO", "store available")
+    WATCHER_ROLE = ("TPE-4006", "INFO", "store watcher role changed")
+    NODE_JOINED = ("TPE-5001", "INFO", "node joined")
+    NODE_SUSPECTED = ("TPE-5002", "WARNING", "node suspected")
+    NODE_DEAD = ("TPE-5003", "WARNING", "node dead")
+    NODE_LEAVING = ("TPE-5004", "INFO", "node leaving")
+    PEER_CONNECTED = ("TPE-5005", "DEBUG", "peer connected")
+    PEER_LOST = ("TPE-5006", "INFO", "peer lost")
+    PEER_REJECTED = ("TPE-5007", "WARNING", "peer frame rejected")
+    CLAIM_MADE = ("TPE-6001", "INFO", "idempotency key claimed")
+    CLAIM_REFUSED = ("TPE-6002", "INFO", "idempotency key not claimed")
+    CLAIM_UNSETTLED = ("TPE-6003", "WARNING", "claim outcome not recorded")
+    CALLER_REJECTED = ("TPE-7001", "INFO", "caller input rejected")
+    UNHANDLED = ("TPE-9001", "ERROR", "unhandled error")
+
+    @property
+    def number(self) -> str:
+        """The number in logs and docs.
+
+        >>> Event.STARTED.number
+        'TPE-1001'
+        """
+        return self.value[0]
+
+    @property
+    def level(self) -> str:
+        """The loguru level name."""
+        return self.value[1]
+
+    @property
+    def title(self) -> str:
+        """The name for a person."""
+        return self.value[2]
+
+
+class EventLog(abc.ABC):
+    """Where controllers report events."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def emit(self, event: Event, **fields: Any) -> None:
+        """Writes one event with its fields."""
+
+
+class NullEventLog(EventLog):
+    """Drops every event.
+
+    >>> NullEventLog().emit(Event.STARTED, node="n1")
+    """
+
+    __slots__ = ()
+
+    def emit(self, event: Event, **fields: Any) -> None:
+        """Does nothing."""
--- /dev/null
+++ b/trefoilpier/base/results.py
@@ -0,0 +1,75 @@
+"""Numbered result codes, and the failure that carries one.
+
+Functions that can fail for a reason the caller must see return an
+``expression.Result`` whose error is a `Failure`. ``docs/RESULT-CODES.md``
+lists every code.
+"""
+
+import datetime
+import enum
+from dataclasses import dataclass
+
+
+class Ran(enum.StrEnum):
+    """Whether a request ran at a backend server."""
+
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class ResultCode(enum.StrEnum):
+    """Every outcome that a caller, peer or operator can be told."""
+
+    COMPLETE = "TPR-1000"
+    PARTIAL = "TPR-1001"
+    REPLAYED = "TPR-1002"
+    NOT_JSON = "TPR-2001"
+    BODY_TOO_LARGE = "TPR-2002"
+    UNKNOWN_SERVICE = "TPR-2003"
+    BAD_DEADLINE = "TPR-2004"
+    BAD_IDEMPOTENCY_KEY = "TPR-2005"
+    NO_SUCH_PAGE = "TPR-2006"
+    SLOW_SENDER = "TPR-2007"
+    MALFORMED_HTTP = "TPR-2008"
+    KEY_REUSED = "TPR-2009"
+    OVERLOADED = "TPR-3001"
+    DEADLINE_TOO_SHORT = "TPR-3002"
+    DRAINING = "TPR-3003"
+    NO_CONFIGURATION = "TPR-3004"
+    STORE_UNAVAILABLE = "TPR-3005"
+    CONNECTION_LIMIT = "TPR-3006"
+    NO_LEAF = "TPR-4001"
+    BELOW_MINIMUM_COVERAGE = "TPR-4002"
+    SNAPSHOT_GONE = "TPR-4003"
+    DEADLINE_PASSED = "TPR-4004"
+    LEAF_FAILED = "TPR-4005"
+    OUTCOME_UNKNOWN = "TPR-5001"
+    KEY_IN_PROGRESS = "TPR-5002"
+    PUBLISHED = "TPR-6001"
+    PUBLISH_LOST = "TPR-6002"
+    PUBLISH_UNKNOWN = "TPR-6003"
+    CONFIG_INVALID = "TPR-6004"
+    VALUE_TOO_LARGE = "TPR-6005"
+    STORE_CONFLICT = "TPR-6006"
+    STORE_ANSWER_LOST = "TPR-6007"
+    SETTINGS_INVALID = "TPR-7001"
+    PEER_PROTOCOL = "TPR-7002"
+    NOT_GATHERER = "TPR-7003"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Failure:
+    """Why something was not done.
+
+    Attributes:
+        code: The numbered reason.
+        detail: One sentence for a person.
+        ran: Whether the request may have run at a backend server.
+        retry_after: When it is worth asking again, if that is known.
+    """
+
+    code: ResultCode
+    detail: str = ""
+    ran: Ran = Ran.NO
+    retry_after: datetime.timedelta | None = None
--- /dev/null
+++ b/trefoilpier/board/__init__.py
@@ -0,0 +1,26 @@
+"""The blackboard: typed sections that controllers read and write."""
+
+from trefoilpier.board.board import (
+    Board,
+    ConfigSection,
+    DrainSection,
+    LeafSection,
+    NodeSection,
+    QuerySection,
+)
+from trefoilpier.board.leaves import LatencyTracker, LeafPhase, LeafState
+from trefoilpier.board.nodes import NodeRecord, NodeState
+
+__all__ = [
+    "Board",
+    "ConfigSection",
+    "DrainSection",
+    "LatencyTracker",
+    "LeafPhase",
+    "LeafSection",
+    "LeafState",
+    "NodeRecord",
+    "NodeSection",
+    "NodeState",
+    "QuerySection",
+]
--- /dev/null
+++ b/trefoilpier/caller/__init__.py
@@ -0,0 +1,15 @@
+"""The HTTP interface for callers and operators."""
+
+from trefoilpier.caller.bounds import BoundedRequest, BoundedSite, CallerBounds
+from trefoilpier.caller.metrics import NodeMetrics
+from trefoilpier.caller.pages import make_root
+from trefoilpier.caller.parse import parse_request
+
+__all__ = [
+    "BoundedRequest",
+    "BoundedSite",
+    "CallerBounds",
+    "NodeMetrics",
+    "make_root",
+    "parse_request",
+]
--- /dev/null
+++ b/trefoilpier/caller/metrics.py
@@ -0,0 +1,71 @@
+"""Metrics, written from plain counts when they are scraped."""
+
+import aioprometheus
+
+from trefoilpier import board
+
+_SECTION_COUNTS = (
+    ("queries_in_flight", "Requests in flight."),
+    ("sub_queries_in_flight", "Sub-queries in flight."),
+    ("queries_answered_total", "Requests answered since the start."),
+    ("queries_refused_total", "Requests refused since the start."),
+    ("leaf_calls_total", "Leaf calls since the start."),
+    ("leaf_calls_extra_total", "Hedges and retries among them."),
+    ("config_version", "Configuration version in force."),
+    ("config_version_heard", "Highest version heard of."),
+    ("nodes_live", "Entry VMs that take part in placement."),
+    ("draining", "Whether the graceful shutdown has begun."),
+)
+
+
+class NodeMetrics:
+    """Reads the blackboard into a registry at each scrape."""
+
+    __slots__ = ("_board", "_gauge_by_name", "_leaves", "_registry")
+
+    def __init__(self, *, blackboard: board.Board) -> None:
+        self._board = blackboard
+        self._registry = aioprometheus.Registry()
+        self._gauge_by_name = {
+            name: aioprometheus.Gauge(
+                f"trefoilpier_{name}", doc, registry=self._registry
+            )
+            for name, doc in _SECTION_COUNTS
+        }
+        self._leaves = aioprometheus.Gauge(
+            "trefoilpier_leaves",
+            "Held leaves by phase.",
+            registry=self._registry,
+        )
+
+    def render(self) -> bytes:
+        """Returns the text of one scrape.
+
+        >>> text = NodeMetrics(blackboard=board.Board(self_id="n")).render()
+        >>> b"trefoilpier_leaf_calls_total 0" in text
+        True
+        """
+        queries = self._board.queries
+        values = (
+            queries.in_flight,
+            queries.sub_in_flight,
+            queries.answered,
+            queries.refused,
+            queries.leaf_calls,
+            queries.leaf_calls_extra,
+            self._board.config.version,
+            self._board.config.heard_version,
+            len(self._board.nodes.live_ids),
+            int(self._board.drain.draining),
+        )
+        for (name, _), value in zip(_SECTION_COUNTS, values, strict=True):
+            self._gauge_by_name[name].set({}, value)
+        for phase in board.LeafPhase:
+            count = sum(
+                1
+                for state in self._board.leaves.state_by_id.values()
+                if state.phase == phase
+            )
+            self._leaves.set({"phase": str(phase)}, count)
+        content, _ = aioprometheus.render(self._registry, [])
+        return content
--- /dev/null
+++ b/trefoilpier/config/__init__.py
@@ -0,0 +1,52 @@
+"""The operators' objects: reading, checking, addressing and publishing."""
+
+from trefoilpier.config.build import build_config_set
+from trefoilpier.config.bundle import Bundle, Manifest, RawObject
+from trefoilpier.config.findings import Finding
+from trefoilpier.config.ini import read_bundle
+from trefoilpier.config.model import (
+    Block,
+    ConfigSet,
+    Fleet,
+    Leaf,
+    Merge,
+    Mode,
+    Policy,
+    Service,
+    ShardGroup,
+)
+from trefoilpier.config.publish import (
+    Head,
+    Publisher,
+    PublishOutcome,
+    PublishState,
+    fetch_bundle,
+    fetch_head,
+)
+from trefoilpier.config.settings import NodeSettings, read_settings
+
+__all__ = [
+    "Block",
+    "Bundle",
+    "ConfigSet",
+    "Finding",
+    "Fleet",
+    "Head",
+    "Leaf",
+    "Manifest",
+    "Merge",
+    "Mode",
+    "NodeSettings",
+    "Policy",
+    "PublishOutcome",
+    "PublishState",
+    "Publisher",
+    "RawObject",
+    "Service",
+    "ShardGroup",
+    "build_config_set",
+    "fetch_bundle",
+    "fetch_head",
+    "read_bundle",
+    "read_settings",
+]
--- /dev/null
+++ b/trefoilpier/leaf/__init__.py
@@ -0,0 +1,19 @@
+"""The client of backend servers' leaves."""
+
+from trefoilpier.leaf.api import (
+    CallStatus,
+    LeafCall,
+    LeafReply,
+    LeafReport,
+    LeafTransport,
+)
+from trefoilpier.leaf.http_transport import HttpLeafTransport
+
+__all__ = [
+    "CallStatus",
+    "HttpLeafTransport",
+    "LeafCall",
+    "LeafReply",
+    "LeafReport",
+    "LeafTransport",
+]
--- /dev/null
+++ b/trefoilpier/node/__init__.py
@@ -0,0 +1,7 @@
+"""One process: the blackboard, its controllers and the daemon."""
+
+from trefoilpier.node.config_controller import ConfigController
+from trefoilpier.node.leaf_controller import LeafController
+from trefoilpier.node.node import Node, NodeParts
+
+__all__ = ["ConfigController", "LeafController", "Node", "NodeParts"]
--- /dev/null
+++ b/trefoilpier/node/main.py
@@ -0,0 +1,158 @@
+"""``trefoilpierd``: the daemon of one entry VM."""
+
+import gc
+import pathlib
+import random
+import signal
+import sys
+import time
+from typing import Any
+
+from twisted.internet import error, reactor
+
+from trefoilpier import (
+    base,
+    board,
+    caller,
+    config,
+    leaf,
+    membership,
+    peer,
+    platform,
+)
+from trefoilpier.node import node, shutdown
+
+EXIT_OK = 0
+EXIT_USAGE = 2
+EXIT_SETTINGS = 3
+EXIT_CANNOT_LISTEN = 4
+_USAGE = "usage: trefoilpierd SETTINGS.ini"
+
+
+class Daemon:
+    """Owns the sockets around a `node.Node`."""
+
+    __slots__ = (
+        "_caller_port",
+        "_clock",
+        "_log",
+        "_network",
+        "_node",
+        "_settings",
+    )
+
+    def __init__(self, *, settings: config.NodeSettings) -> None:
+        self._settings = settings
+        self._clock = base.ReactorClock(reactor=reactor)
+        self._log = base.LoguruEventLog(level=settings.log_level)
+        self._network = peer.TwistedPeerNetwork(
+            reactor=reactor,
+            clock=self._clock,
+            log=self._log,
+            own_id=settings.node_id,
+            key=settings.peer_key,
+        )
+        self._node = self._make_node()
+        self._caller_port: Any = None
+
+    def _make_node(self) -> node.Node:
+        settings = self._settings
+        rng = random.Random()
+        own = board.NodeRecord(
+            id=settings.node_id,
+            host=settings.host,
+            peer_port=settings.peer_port,
+            caller_port=settings.caller_port,
+            region=settings.region,
+            zone=settings.zone,
+            incarnation=time.time_ns() // 1_000_000,
+        )
+        parts = node.NodeParts(
+            clock=self._clock,
+            rng=rng,
+            log=self._log,
+            leaves=leaf.HttpLeafTransport(
+                reactor=reactor, clock=self._clock, rng=rng, log=self._log
+            ),
+            network=self._network,
+            store=platform.HttpStore(
+                reactor=reactor,
+                host=settings.platform_host,
+                port=settings.platform_port,
+            ),
+            timing=membership.MembershipTiming(),
+            queries_max=settings.queries_max,
+        )
+        return node.Node(own=own, parts=parts)
+
+    def start(self) -> None:
+        """Listens and starts; raises ``CannotListenError``."""
+        settings = self._settings
+        self._network.listen(settings.host, settings.peer_port)
+        root = caller.make_root(
+            node_id=settings.node_id,
+            blackboard=self._node.board,
+            placement=self._node.placement,
+            runner=self._node.runner,
+            clock=self._clock,
+            log=self._log,
+            ready=self._node.ready,
+        )
+        site = caller.BoundedSite(
+            root,
+            bounds=caller.CallerBounds(
+                body_max=settings.caller_body_max,
+                connections_max=settings.caller_connections_max,
+                idle_s=settings.caller_idle.total_seconds(),
+            ),
+            clock=self._clock,
+            log=self._log,
+        )
+        self._caller_port = reactor.listenTCP(
+            settings.caller_port, site, interface=settings.host
+        )
+        self._node.start()
+        shutdown.GracefulShutdown(
+            node=self._node,
+            clock=self._clock,
+            drain_lag=settings.drain_lag.total_seconds(),
+            close=self._close,
+        ).install(reactor, signal.SIGTERM, signal.SIGINT)
+
+    def _close(self) -> None:
+        """Stops listening and ends the process."""
+        self._caller_port.stopListening()
+        self._node.stop()
+        self._network.stop()
+        self._clock.call_later(0.1, reactor.stop)
+
+
+def run() -> None:
+    """Reads the settings, runs the daemon and exits with a status."""
+    if len(sys.argv) != 2 or sys.argv[1].startswith("-"):
+        print(_USAGE, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    read = config.read_settings(pathlib.Path(sys.argv[1]))
+    if read.is_error():
+        for finding in read.error:
+            print(finding, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    settings = read.ok
+    base.configure_logging(style=settings.log_style, level=settings.log_level)
+    base.observe_twisted(base.LoguruEventLog(level=settings.log_level))
+    daemon = Daemon(settings=settings)
+    try:
+        daemon.start()
+    except error.CannotListenError as failed:
+        print(f"trefoilpierd: {failed}", file=sys.stderr)
+        sys.exit(EXIT_CANNOT_LISTEN)
+    # What was imported lives as long as the process; the collector need not
+    # look at it again.
+    gc.collect()
+    gc.freeze()
+    reactor.run()
+    sys.exit(EXIT_OK)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/trefoilpier/peer/__init__.py
@@ -0,0 +1,55 @@
+"""The protocol between entry VMs: messages, frames and links."""
+
+from trefoilpier.peer.auth import FrameMac, hello_mac, sign_datagram
+from trefoilpier.peer.codec import decode, encode
+from trefoilpier.peer.messages import (
+    Ack,
+    Cancel,
+    Envelope,
+    Hello,
+    ManifestPull,
+    ManifestReply,
+    Message,
+    NodesPull,
+    NodesReply,
+    Notice,
+    ObjectsPull,
+    ObjectsReply,
+    Partial,
+    Ping,
+    PingRequest,
+    SubQuery,
+    VersionsQuery,
+    VersionsReply,
+)
+from trefoilpier.peer.network import PeerAddress, PeerNetwork
+from trefoilpier.peer.tcp import TwistedPeerNetwork
+
+__all__ = [
+    "Ack",
+    "Cancel",
+    "Envelope",
+    "FrameMac",
+    "Hello",
+    "ManifestPull",
+    "ManifestReply",
+    "Message",
+    "NodesPull",
+    "NodesReply",
+    "Notice",
+    "ObjectsPull",
+    "ObjectsReply",
+    "Partial",
+    "PeerAddress",
+    "PeerNetwork",
+    "Ping",
+    "PingRequest",
+    "SubQuery",
+    "TwistedPeerNetwork",
+    "VersionsQuery",
+    "VersionsReply",
+    "decode",
+    "encode",
+    "hello_mac",
+    "sign_datagram",
+]
--- /dev/null
+++ b/trefoilpier/query/gatherer.py
@@ -0,0 +1,187 @@
+"""Answers the sub-queries of other entry VMs."""
+
+import datetime
+from collections.abc import Callable
+
+import orjson
+
+from trefoilpier import base, board, config, peer, routing
+
+_GATHERER_EXTRA_SHARE = 0.8
+_RETRY_AFTER_MS = 50
+
+
+class SubQueryServer:
+    """Gathers held shards for peers and sends back one merged partial."""
+
+    __slots__ = (
+        "_board",
+        "_context",
+        "_gather_by_id",
+        "_placement",
+        "_reply",
+        "_snapshots",
+    )
+
+    def __init__(
+        self,
+        *,
+        blackboard: board.Board,
+        context: routing.GatherContext,
+        placement: routing.Placement,
+        snapshots: routing.SnapshotTracker,
+        reply: Callable[[str, peer.Message], None],
+    ) -> None:
+        self._board = blackboard
+        self._context = context
+        self._placement = placement
+        self._snapshots = snapshots
+        self._reply = reply
+        self._gather_by_id: dict[str, routing.Gather] = {}
+
+    def handle_sub_query(self, sender: str, message: peer.SubQuery) -> None:
+        """Runs a sub-query, or refuses it as not run."""
+        refusal = self._refusal(message)
+        if refusal is not None:
+            self._refuse(sender, message, refusal)
+            return
+        current = self._board.config.current
+        assert current is not None  # noqa: S101 - checked by _refusal
+        service = current.service_by_name[message.service]
+        group = current.shard_group_by_name[message.snapshot.group]
+        now = self._context.clock.monotonic()
+        query = routing.QuerySpec(
+            id=message.id,
+            service=service,
+            group=group,
+            policy=current.policy_by_name[service.policy],
+            snapshot=message.snapshot,
+            deadline=now + message.deadline_ms / 1000,
+            soft_deadline=now + message.soft_deadline_ms / 1000,
+            query=message.query,
+            key=message.key,
+            limit=message.limit,
+            extra_share=_GATHERER_EXTRA_SHARE,
+        )
+        gather = routing.Gather(
+            context=self._context,
+            query=query,
+            shards=message.shards,
+            on_done=lambda result: self._done(sender, message, group, result),
+        )
+        self._gather_by_id[message.id] = gather
+        self._board.queries.sub_in_flight += 1
+        gather.start()
+
+    def handle_cancel(self, message: peer.Cancel) -> None:
+        """Withdraws a sub-query."""
+        gather = self._gather_by_id.pop(message.id, None)
+        if gather is not None:
+            gather.cancel()
+            self._board.queries.sub_in_flight -= 1
+
+    def handle_versions(self, sender: str, message: peer.VersionsQuery) -> None:
+        """Tells which versions held shards can serve."""
+        versions_by_shard: dict[int, tuple[int, ...]] = {}
+        current = self._board.config.current
+        group = (
+            current.shard_group_by_name.get(message.group) if current else None
+        )
+        if group is not None:
+            for block in group.blocks:
+                if block.id not in message.blocks:
+                    continue
+                if not self._placement.holds(block, group):
+                    continue
+                versions_by_shard.update(
+                    self._snapshots.held_versions(group, block.shards)
+                )
+        self._reply(
+            sender,
+            peer.VersionsReply(
+                id=message.id, versions_by_shard=versions_by_shard
+            ),
+        )
+
+    def _refusal(self, message: peer.SubQuery) -> base.ResultCode | None:
+        """Tells why a sub-query cannot be run here; None if it can."""
+        if message.id in self._gather_by_id:
+            return base.ResultCode.PEER_PROTOCOL
+        current = self._board.config.current
+        if current is None:
+            return base.ResultCode.NO_CONFIGURATION
+        service = current.service_by_name.get(message.service)
+        group = current.shard_group_by_name.get(message.snapshot.group)
+        if service is None or group is None:
+            return base.ResultCode.UNKNOWN_SERVICE
+        if group.epoch != message.snapshot.epoch:
+            return base.ResultCode.SNAPSHOT_GONE
+        if any(shard >= group.shard_count for shard in message.shards):
+            return base.ResultCode.PEER_PROTOCOL
+        held = all(
+            self._placement.holds(group.block_by_shard[shard], group)
+            for shard in message.shards
+        )
+        if not held or not message.shards:
+            return base.ResultCode.NOT_GATHERER
+        return None
+
+    def _refuse(
+        self, sender: str, message: peer.SubQuery, code: base.ResultCode
+    ) -> None:
+        self._reply(
+            sender,
+            peer.Partial(
+                id=message.id,
+                code=code,
+                snapshot=message.snapshot,
+                retry_after_ms=_RETRY_AFTER_MS,
+            ),
+        )
+
+    def _done(
+        self,
+        sender: str,
+        message: peer.SubQuery,
+        group: config.ShardGroup,
+        result: routing.GatherResult,
+    ) -> None:
+        """Sends the merged partial back."""
+        if self._gather_by_id.pop(message.id, None) is not None:
+            self._board.queries.sub_in_flight -= 1
+        complete = not result.reason_by_missing
+        code = base.ResultCode.COMPLETE
+        if not complete:
+            code = base.ResultCode.PARTIAL
+        self._context.log.emit(
+            base.Event.SUBQUERY_DECIDED,
+            query=message.id,
+            asked_by=sender,
+            answered=len(result.answered),
+            missing=len(result.reason_by_missing),
+            calls=result.calls,
+            extra=result.extra,
+            choices=result.choices(),
+        )
+        data = orjson.dumps(result.result) if result.answered else b""
+        self._reply(
+            sender,
+            peer.Partial(
+                id=message.id,
+                code=code,
+                snapshot=message.snapshot,
+                answered=tuple(result.answered),
+                reason_by_missing=result.reason_by_missing,
+                result=data,
+                ran=result.ran,
+                retry_after_ms=_milliseconds(result.retry_after),
+                calls=result.calls,
+                extra=result.extra,
+                offered=self._snapshots.offered(group, message.shards),
+            ),
+        )
+
+
+def _milliseconds(seconds: float) -> int:
+    span = datetime.timedelta(seconds=seconds)
+    return span // datetime.timedelta(milliseconds=1)
