--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: decisions at a virtual clock, and processes on loopback."""
--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,74 @@
+"""Simpler policies that the system's own are compared with."""
+
+import random
+
+from trefoilpier import board, node, routing
+
+_NEVER_S = 1e9
+
+
+class RandomChooser(routing.ReplicaChooser):
+    """Chooses any replica that is up and has the version."""
+
+    __slots__ = ("_section", "_source")
+
+    def __init__(
+        self, *, leaves: board.LeafSection, rng: random.Random
+    ) -> None:
+        super().__init__(leaves=leaves, rng=rng)
+        self._section = leaves
+        self._source = rng
+
+    def choose(
+        self,
+        leaf_ids: tuple[str, ...],
+        *,
+        shard: int,
+        version: int,
+        now: float,
+        avoid: frozenset[str] | set[str] = frozenset(),
+    ) -> board.LeafState | None:
+        """Chooses a leaf at random."""
+        states = [
+            self._section.state_by_id[leaf_id]
+            for leaf_id in leaf_ids
+            if leaf_id in self._section.state_by_id and leaf_id not in avoid
+        ]
+        usable = [
+            state
+            for state in states
+            if state.phase == board.LeafPhase.UP and version in state.versions
+        ]
+        return self._source.choice(usable) if usable else None
+
+
+class FixedHedge(routing.HedgePolicy):
+    """Hedges after a fixed delay, whatever the fleet's state."""
+
+    __slots__ = ("_delay",)
+
+    def __init__(self, *, leaves: board.LeafSection, delay: float) -> None:
+        super().__init__(leaves=leaves)
+        self._delay = delay
+
+    def delay(self, leaf_ids: tuple[str, ...]) -> float:
+        """Returns the fixed delay."""
+        return self._delay
+
+    def fleet_is_slow(self, *, late: int, total: int) -> bool:
+        """Never holds hedges back."""
+        return False
+
+
+def use_no_hedging(made: node.Node, rng: random.Random) -> None:
+    """Baseline (a): a random replica, no hedging."""
+    leaves = made.board.leaves
+    made.context.chooser = RandomChooser(leaves=leaves, rng=rng)
+    made.context.hedging = FixedHedge(leaves=leaves, delay=_NEVER_S)
+
+
+def use_fixed_hedging(made: node.Node, rng: random.Random) -> None:
+    """Baseline (b): a random replica, a hedge after 20 ms."""
+    leaves = made.board.leaves
+    made.context.chooser = RandomChooser(leaves=leaves, rng=rng)
+    made.context.hedging = FixedHedge(leaves=leaves, delay=0.020)
--- a/trefoilpier/node/node.py
+++ b/trefoilpier/node/node.py
@@ -49,6 +49,7 @@
 
     Attributes:
         board: The blackboard.
+        own: This node's record at its start.
         runner: Runs callers' requests.
     """
 
@@ -58,7 +59,7 @@
         "_leaves",
         "_log",
         "_membership",
-        "_own",
+        "own",
         "_requests",
         "_sub_queries",
         "board",
@@ -72,7 +73,7 @@
         """Wires the controllers; nothing runs before `start`."""
         blackboard = board.Board(self_id=own.id)
         self.board = blackboard
-        self._own = own
+        self.own = own
         self._clock = parts.clock
         self._log = parts.log
         self._requests = query.PeerRequests(
@@ -156,10 +157,10 @@
 
     def start(self) -> None:
         """Starts the controllers."""
-        self._membership.start(self._own)
+        self._membership.start(self.own)
         self._leaves.start()
         self._config.start()
-        self._log.emit(base.Event.STARTED, node=self._own.id)
+        self._log.emit(base.Event.STARTED, node=self.own.id)
 
     def ready(self) -> bool:
         """Tells whether this node should be given callers' requests."""
@@ -189,7 +190,7 @@
         """Ends the controllers and releases the leaves."""
         self._config.stop()
         self._leaves.stop()
-        self._log.emit(base.Event.STOPPED, node=self._own.id)
+        self._log.emit(base.Event.STOPPED, node=self.own.id)
 
     def _take_members(self, records: list[platform.VmRecord]) -> None:
         """Sorts the platform's list into entry VMs and backend servers."""
@@ -213,7 +214,7 @@
         """Hands a peer's message to its controller."""
         sender = envelope.sender
         message = envelope.message
-        if message is None or sender == self._own.id:
+        if message is None or sender == self.own.id:
             return
         handle = self._handler(message)
         if handle is not None:
