--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -3,16 +3,17 @@
 import pathlib
 import random
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bench import baselines, figures, virtual_load
 from standins import fleet, rig
 from trefoilpier import config, node
 
-_SEED = 7
-_LATENCY_MOST_MS = 320.0
-_EXTRA_MOST = 0.05
-_MEDIAN_S = 0.005
+SEED = 7
+LATENCY_MOST_MS = 320.0
+EXTRA_MOST = 0.05
+MEDIAN_S = 0.005
+Change = Callable[[node.Node, random.Random], None]
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -23,8 +24,8 @@
         name: Whose it is.
         path: Its objects.
         service: The service that is measured.
-        whole_service: The same index under the ``coverage`` policy.
-        full_rate: Queries a second that the leaves' slots carry.
+        full_rate: Queries a second that the leaves' slots carry: slots over
+            the mean service time, at one call for each leaf and query.
     """
 
     name: str
@@ -35,7 +36,6 @@
 
 EXAMPLES = rig.ROOT / "examples"
 DEPLOYMENTS = (
-    # 30 calls a query over 30 leaves with 2 (or 5) slots of about 5.2 ms.
     Deployment(
         name="ulaanbaatar",
         path=EXAMPLES / "ulaanbaatar.ini",
@@ -49,75 +49,82 @@
         full_rate=950.0,
     ),
 )
+POLICIES: dict[str, Change | None] = {
+    "own": None,
+    "no hedging": baselines.use_no_hedging,
+    "fixed hedging": baselines.use_fixed_hedging,
+}
 
 
 def make_fleet(
     deployment: Deployment,
     *,
-    seed: int = _SEED,
-    change: Callable[[node.Node, random.Random], None] | None = None,
-    edit: Callable[[config.RawObject], config.RawObject] | None = None,
-    queue: int = 4,
+    change: Change | None = None,
+    gatherers: int = 0,
+    mode: str = "",
 ) -> fleet.Fleet:
-    """Starts a deployment's fleet with only the measured shard group."""
-    objects = config.read_bundle(deployment.path).ok
-    if edit is not None:
-        objects = [edit(raw) for raw in objects]
-    made = fleet.Fleet(
-        objects=objects, seed=seed, median_s=_MEDIAN_S, queue=queue
-    )
+    """Starts a deployment's fleet.
+
+    Args:
+        deployment: The deployment.
+        change: Replaces a node's policies by a baseline's.
+        gatherers: Nodes that gather for a block; 0 for the file's value.
+        mode: Replaces the mode of every policy.
+    """
+    objects = [
+        _edit(raw, gatherers, mode)
+        for raw in config.read_bundle(deployment.path).ok
+    ]
+    made = fleet.Fleet(objects=objects, seed=SEED, median_s=MEDIAN_S)
     made.start()
     if change is not None:
         for each in made.node_by_id.values():
-            change(each, random.Random(seed))
+            change(each, random.Random(SEED))
     return made
 
 
-def _leaves(made: fleet.Fleet, service: str) -> list[str]:
+def _edit(raw: config.RawObject, gatherers: int, mode: str) -> config.RawObject:
+    """Changes an object of a deployment for one experiment."""
+    keys = dict(raw.text_by_key)
+    if raw.kind == "shard_group" and gatherers:
+        keys["gatherers"] = str(gatherers)
+    if raw.kind == "policy" and mode:
+        keys["mode"] = mode
+    return replace(raw, text_by_key=keys)
+
+
+def leaves_of(made: fleet.Fleet, service: str) -> list[str]:
+    """Returns the leaves of a service's shard group, sorted."""
     group = made.set.service_by_name[service].shard_group
     rows = made.set.shard_group_by_name[group].leaf_ids_by_shard
     return sorted({leaf_id for row in rows for leaf_id in row})
 
 
-POLICIES: tuple[
-    tuple[str, Callable[[node.Node, random.Random], None] | None], ...
-] = (
-    ("own", None),
-    ("no hedging", baselines.use_no_hedging),
-    ("fixed hedging", baselines.use_fixed_hedging),
-)
-
-
-def straggler(deployment: Deployment) -> Iterator[figures.Figure]:
-    """One leaf of the group 20 times slower, and 1 % of calls straggling."""
-    p99_by_policy = {}
-    for name, change in POLICIES:
-        made = make_fleet(deployment, change=change)
-        leaves = _leaves(made, deployment.service)
-        made.host_by_leaf[leaves[0]].model.faults.slow_factor = 20.0
-        for leaf_id in leaves:
-            made.host_by_leaf[leaf_id].model.faults.straggle_share = 0.01
-        load = virtual_load.VirtualLoad(
-            target=made, service=deployment.service, seed=_SEED
-        )
-        load.run(rate=0.3 * deployment.full_rate, seconds=2.0)
-        seen = load.run(rate=0.3 * deployment.full_rate, seconds=8.0)
-        p99_by_policy[name] = seen.percentile_ms(99)
-        yield from _straggler_rows(
-            f"straggler {deployment.name} {name}", seen, own=name == "own"
-        )
-    ratio = p99_by_policy["own"] / p99_by_policy["no hedging"]
-    yield figures.Figure(
-        name=f"straggler {deployment.name}/p99 to no hedging",
-        value=ratio,
-        unit="ratio",
-        most=0.5,
+def make_load(
+    made: fleet.Fleet, deployment: Deployment
+) -> virtual_load.VirtualLoad:
+    """Prepares the load of a deployment."""
+    return virtual_load.VirtualLoad(
+        target=made, service=deployment.service, seed=SEED
     )
 
 
-def _straggler_rows(
-    name: str, seen: virtual_load.LoadResult, *, own: bool
+def straggler(
+    deployment: Deployment, policy: str, gatherers: int = 0
 ) -> Iterator[figures.Figure]:
+    """One leaf of the group 20 times slower, and 1 % of calls straggling."""
+    made = make_fleet(deployment, change=POLICIES[policy], gatherers=gatherers)
+    leaves = leaves_of(made, deployment.service)
+    made.host_by_leaf[leaves[0]].model.faults.slow_factor = 20.0
+    for leaf_id in leaves:
+        made.host_by_leaf[leaf_id].model.faults.straggle_share = 0.01
+    load = make_load(made, deployment)
+    load.run(rate=0.3 * deployment.full_rate, seconds=2.0)
+    seen = load.run(rate=0.3 * deployment.full_rate, seconds=8.0)
+    name = f"straggler {deployment.name} {policy}"
+    if gatherers:
+        name = f"{name} with {gatherers} gatherers"
+    own = policy == "own" and not gatherers
     yield figures.Figure(
         name=f"{name}/p50", value=seen.percentile_ms(50), unit="ms"
     )
@@ -125,7 +132,7 @@
         name=f"{name}/p99",
         value=seen.percentile_ms(99),
         unit="ms",
-        most=_LATENCY_MOST_MS if own else None,
+        most=LATENCY_MOST_MS if own else None,
     )
     yield figures.Figure(
         name=f"{name}/p99.9", value=seen.percentile_ms(99.9), unit="ms"
@@ -137,17 +144,256 @@
         least=0.99 if own else None,
     )
     yield figures.Figure(
-        name=f"{name}/coverage", value=seen.coverage, unit="share"
+        name=f"{name}/coverage",
+        value=seen.coverage,
+        unit="share",
+        # Hanoi's policy waits for every shard, and each has a live replica.
+        least=1.0 if own and deployment.name == "hanoi" else None,
+    )
+    yield figures.Figure(
+        name=f"{name}/extra load",
+        value=seen.extra_load,
+        unit="share",
+        most=EXTRA_MOST if own else None,
+    )
+
+
+def straggler_ratio(rows: list[figures.Figure]) -> Iterator[figures.Figure]:
+    """Compares the 99th percentile with the one without hedging."""
+    value_by_name = {row.name: row.value for row in rows}
+    for deployment in DEPLOYMENTS:
+        name = f"straggler {deployment.name}"
+        own = value_by_name.get(f"{name} own/p99")
+        plain = value_by_name.get(f"{name} no hedging/p99")
+        if own is None or plain is None:
+            continue
+        yield figures.Figure(
+            name=f"{name}/p99 to no hedging",
+            value=own / plain,
+            unit="ratio",
+            most=0.5,
+        )
+
+
+def overload(deployment: Deployment) -> Iterator[figures.Figure]:
+    """Load of 1, 2 and 5 times what the slots carry."""
+    goodput_by_factor = {}
+    for factor in (0.8, 1.0, 2.0, 5.0):
+        made = make_fleet(deployment)
+        load = make_load(made, deployment)
+        rate = factor * deployment.full_rate
+        load.run(rate=rate, seconds=1.0)
+        seen = load.run(rate=rate, seconds=3.0)
+        goodput_by_factor[factor] = seen.answers / 3.0
+        name = f"overload {deployment.name} {factor:g}x"
+        yield figures.Figure(
+            name=f"{name}/goodput", value=seen.answers / 3.0, unit="1/s"
+        )
+        yield figures.Figure(
+            name=f"{name}/p99",
+            value=seen.percentile_ms(99),
+            unit="ms",
+            most=LATENCY_MOST_MS,
+        )
+        yield figures.Figure(
+            name=f"{name}/coverage", value=seen.coverage, unit="share"
+        )
+        amplification = seen.leaf_calls / max(1, seen.first_calls)
+        yield figures.Figure(
+            name=f"{name}/leaf calls to first calls",
+            value=amplification,
+            unit="ratio",
+            most=1.1,
+        )
+        if factor < 2:
+            continue
+        yield figures.Figure(
+            name=f"{name}/refusals p99",
+            value=seen.refusal_ms(99),
+            unit="ms",
+            most=20.0,
+        )
+        yield figures.Figure(
+            name=f"{name}/refusals that may have run",
+            value=seen.ran_but_refused,
+            unit="count",
+            most=0,
+        )
+    best = max(goodput_by_factor.values())
+    for factor in (2.0, 5.0):
+        yield figures.Figure(
+            name=f"overload {deployment.name} {factor:g}x/goodput to best",
+            value=goodput_by_factor[factor] / best,
+            unit="ratio",
+            least=0.9,
+        )
+
+
+def metastability(deployment: Deployment) -> Iterator[figures.Figure]:
+    """Ten seconds of three times the slots' rate, then a normal load."""
+    made = make_fleet(deployment)
+    load = make_load(made, deployment)
+    normal = 0.4 * deployment.full_rate
+
+    def rate_at(at: float) -> float:
+        return 3.0 * deployment.full_rate if 2.0 <= at < 12.0 else normal
+
+    begin = made.clock.monotonic()
+    seen = load.run(rate=normal, seconds=20.0, rate_at=rate_at)
+    name = f"metastability {deployment.name}"
+    yield figures.Figure(
+        name=f"{name}/back to normal after",
+        value=_recovered_after(seen, begin + 12.0, begin + 20.0),
+        unit="s",
+        most=5.0,
+    )
+
+
+def _recovered_after(
+    seen: virtual_load.LoadResult, since: float, until: float
+) -> float:
+    """Returns when the last bad half second after an event ended.
+
+    A half second is bad when less than 99 in 100 of its requests got a whole
+    answer within 320 ms.
+    """
+    step = 0.5
+    last_bad = 0.0
+    at = since
+    while at < until:
+        rows = [row for row in seen.done_at if at <= row[0] < at + step]
+        good = [
+            row
+            for row in rows
+            if row[3] == 1.0 and row[1] * 1000 <= LATENCY_MOST_MS
+        ]
+        if rows and len(good) < 0.99 * len(rows):
+            last_bad = at + step - since
+        at += step
+    return last_bad
+
+
+Harm = Callable[[fleet.Fleet, list[str]], None]
+
+
+def _lose_replica(made: fleet.Fleet, leaves: list[str]) -> None:
+    made.host_by_leaf[leaves[0]].dead = True
+
+
+def _lose_zone(made: fleet.Fleet, leaves: list[str]) -> None:
+    zone = made.host_by_leaf[leaves[0]].zone
+    for leaf_id in leaves:
+        if made.host_by_leaf[leaf_id].zone == zone:
+            made.host_by_leaf[leaf_id].dead = True
+
+
+def _freeze_replica(made: fleet.Fleet, leaves: list[str]) -> None:
+    made.host_by_leaf[leaves[0]].silent = True
+
+
+def _restart_cold(made: fleet.Fleet, leaves: list[str]) -> None:
+    for leaf_id in leaves[::3]:
+        model = made.host_by_leaf[leaf_id].model
+        model.faults.cold_s = 3.0
+        model.restart()
+
+
+def _lie_about_load(made: fleet.Fleet, leaves: list[str]) -> None:
+    for index, leaf_id in enumerate(leaves):
+        lie = 0.0 if index % 2 else 1.0
+        made.host_by_leaf[leaf_id].model.faults.load = lie
+
+
+HARM_BY_NAME: dict[str, Harm] = {
+    "replica lost": _lose_replica,
+    "replica frozen": _freeze_replica,
+    "zone lost": _lose_zone,
+    "third restarted cold": _restart_cold,
+    "load reports lie": _lie_about_load,
+}
+
+
+def harmed(deployment: Deployment, harm: str) -> Iterator[figures.Figure]:
+    """A fault after two seconds, under the ``coverage`` policy."""
+    made = make_fleet(deployment, mode="coverage")
+    leaves = leaves_of(made, deployment.service)
+    load = make_load(made, deployment)
+    rate = 0.3 * deployment.full_rate
+    load.run(rate=rate, seconds=2.0)
+    begin = made.clock.monotonic()
+    seen = load.run(
+        rate=rate,
+        seconds=10.0,
+        events=[(2.0, lambda: HARM_BY_NAME[harm](made, leaves))],
+    )
+    name = f"{harm} {deployment.name}"
+    yield figures.Figure(
+        name=f"{name}/recovered after",
+        value=_recovered_after(seen, begin + 2.0, begin + 10.0),
+        unit="s",
+        most=5.0,
+    )
+    yield figures.Figure(
+        name=f"{name}/p99",
+        value=seen.percentile_ms(99),
+        unit="ms",
+        most=LATENCY_MOST_MS,
+    )
+    yield figures.Figure(
+        name=f"{name}/worst coverage", value=seen.coverage_min, unit="share"
+    )
+    yield figures.Figure(
+        name=f"{name}/answered whole",
+        value=seen.whole / seen.sent,
+        unit="share",
+        least=0.99,
     )
     yield figures.Figure(
         name=f"{name}/extra load",
         value=seen.extra_load,
         unit="share",
-        most=_EXTRA_MOST if own else None,
+        most=EXTRA_MOST,
     )
 
 
-def run() -> Iterator[figures.Figure]:
-    """Yields every figure of the decisions."""
+def gatherers(deployment: Deployment, count: int) -> Iterator[figures.Figure]:
+    """Every node at a leaf's slots against a few that queue for them."""
+    for factor in (0.5, 0.8):
+        made = make_fleet(deployment, gatherers=count)
+        load = make_load(made, deployment)
+        load.run(rate=factor * deployment.full_rate, seconds=1.0)
+        seen = load.run(rate=factor * deployment.full_rate, seconds=4.0)
+        name = f"gatherers {deployment.name} {count} of 7 at {factor:g}x"
+        yield figures.Figure(
+            name=f"{name}/p50", value=seen.percentile_ms(50), unit="ms"
+        )
+        yield figures.Figure(
+            name=f"{name}/p99", value=seen.percentile_ms(99), unit="ms"
+        )
+        yield figures.Figure(
+            name=f"{name}/answered whole",
+            value=seen.whole / seen.sent,
+            unit="share",
+        )
+        yield figures.Figure(
+            name=f"{name}/extra load", value=seen.extra_load, unit="share"
+        )
+
+
+def jobs() -> list[tuple]:
+    """Returns the experiments, each a function with its arguments."""
+    made: list[tuple] = []
     for deployment in DEPLOYMENTS:
-        yield from straggler(deployment)
+        made += [(overload, deployment), (metastability, deployment)]
+        made += [(straggler, deployment, name) for name in POLICIES]
+        made += [(harmed, deployment, name) for name in HARM_BY_NAME]
+    return made
+
+
+def gatherer_jobs() -> list[tuple]:
+    """Returns the comparison of gatherer counts."""
+    made: list[tuple] = []
+    for deployment in DEPLOYMENTS:
+        made += [(gatherers, deployment, count) for count in (1, 2, 3, 7)]
+        made += [(straggler, deployment, "own", count) for count in (1, 2, 3)]
+    return made
--- a/bench/main.py
+++ b/bench/main.py
@@ -1,28 +1,45 @@
 """``bin/bench [NAME] [--json FILE] [--plot FILE]``."""
 
 import argparse
+import concurrent.futures
 import pathlib
 import sys
 from collections.abc import Callable, Iterator
 
 from bench import decisions, figures
 
-_BENCH_BY_NAME: dict[str, Callable[[], Iterator[figures.Figure]]] = {
-    "decisions": decisions.run,
+_JOBS_BY_NAME: dict[str, Callable[[], list[tuple]]] = {
+    "decisions": decisions.jobs,
+    "gatherers": decisions.gatherer_jobs,
 }
+_PROCESSES = 6
+
+
+def _run_job(job: tuple) -> list[figures.Figure]:
+    """Runs one experiment in a process of its own."""
+    function, *arguments = job
+    return list(function(*arguments))
+
+
+def run(jobs: list[tuple]) -> Iterator[figures.Figure]:
+    """Runs experiments side by side; figures come in the jobs' order."""
+    with concurrent.futures.ProcessPoolExecutor(_PROCESSES) as pool:
+        for rows in pool.map(_run_job, jobs):
+            yield from rows
 
 
 def main() -> None:
     """Runs the chosen benchmarks and exits 1 if a bound does not hold."""
     parser = argparse.ArgumentParser(prog="bin/bench", description=__doc__)
-    parser.add_argument("name", nargs="?", choices=sorted(_BENCH_BY_NAME))
+    parser.add_argument("name", nargs="?", choices=sorted(_JOBS_BY_NAME))
     parser.add_argument("--json", type=pathlib.Path)
     parser.add_argument("--plot", type=pathlib.Path)
     args = parser.parse_args()
-    names = [args.name] if args.name else sorted(_BENCH_BY_NAME)
+    names = [args.name] if args.name else sorted(_JOBS_BY_NAME)
     rows: list[figures.Figure] = []
     for name in names:
-        rows += _BENCH_BY_NAME[name]()
+        rows += run(_JOBS_BY_NAME[name]())
+    rows += decisions.straggler_ratio(rows)
     figures.print_table(rows)
     if args.json:
         figures.write_json(rows, args.json)
@@ -30,7 +47,9 @@
         figures.write_plot(rows, args.plot)
     missed = [row.name for row in rows if row.holds is False]
     if missed:
-        print("bounds that do not hold: " + "; ".join(missed))
+        print("bounds that do not hold:")
+        for name in missed:
+            print(f"  {name}")
         sys.exit(1)
 
 
