Three gatherers a block instead of seven, and refusals that follow the queues

Cause: with seven VMs sending to a leaf of two slots, fourteen calls met a leaf that takes six; at 1.2 times the slots' rate 31 % of the calls were shed and random shards of most queries were lost, so the work of the others was wasted. Admission saw only this node's own lanes and admitted until the queues were as long as the deadline. Ruled out: the retry budget (sheds came first).

Change: three gatherers by default, blocks of one VM's part of the leaves, and a share of 1.8 times the slots for each gatherer. A partial tells how long calls wait at its gatherer; admission refuses a growing share of requests once the wait passes 15 % of the time allowed, and all at 45 %.

--- a/bench/virtual_load.py
+++ b/bench/virtual_load.py
@@ -27,6 +27,7 @@
         coverage_min: Lowest covered share of an answer.
         answers: Complete and partial answers.
         whole: Answers whose coverage is full.
+        failed: Admitted requests that ended without an answer.
         ran_but_refused: Refusals that say something ran or may have.
         first_calls: Leaf calls that the admitted requests needed.
         leaf_calls: Leaf calls that were made.
@@ -45,6 +46,7 @@
     coverage_min: float = 1.0
     answers: int = 0
     whole: int = 0
+    failed: int = 0
     ran_but_refused: int = 0
     first_calls: int = 0
     leaf_calls: int = 0
@@ -60,6 +62,11 @@
         """Returns a percentile of refusals' latency, in milliseconds."""
         return self.refusal.get_value_at_percentile(share) / 1000
 
+    @property
+    def refused(self) -> int:
+        """Requests that were refused at the door."""
+        return self.refusal.get_total_count()
+
     @property
     def extra_load(self) -> float:
         """Leaf calls beyond the first ones, as a share of those."""
@@ -76,6 +83,7 @@
         return self.answers / max(1, self.sent)
 
 
+_REFUSALS = "TPR-3"
 _ANSWERS = (base.ResultCode.COMPLETE, base.ResultCode.PARTIAL)
 
 
@@ -179,6 +187,9 @@
             result.coverage_min = min(result.coverage_min, share)
             result.latency.record_value(microseconds)
             return
+        if not code.startswith(_REFUSALS):
+            result.failed += 1
+            return
         result.refusal.record_value(microseconds)
         if final.ran != base.Ran.NO:
             result.ran_but_refused += 1
--- a/trefoilpier/board/board.py
+++ b/trefoilpier/board/board.py
@@ -89,7 +89,19 @@
 
 
 class QuerySection:
-    """Requests and sub-queries in flight, with counts since the start."""
+    """Requests and sub-queries in flight, with counts since the start.
+
+    Attributes:
+        in_flight: Requests of callers.
+        in_flight_by_caller: The same for each caller.
+        sub_in_flight: Sub-queries of peers.
+        answered: Requests that were admitted and ended.
+        refused: Requests that were refused at the door.
+        leaf_calls: Leaf calls made.
+        leaf_calls_extra: Hedges and retries among them.
+        wait_by_block: For each block of other gatherers, the seconds that a
+            call would wait there, and the monotonic instant of that word.
+    """
 
     __slots__ = (
         "answered",
@@ -99,6 +111,7 @@
         "leaf_calls_extra",
         "refused",
         "sub_in_flight",
+        "wait_by_block",
     )
 
     def __init__(self) -> None:
@@ -109,6 +122,7 @@
         self.refused = 0
         self.leaf_calls = 0
         self.leaf_calls_extra = 0
+        self.wait_by_block: dict[str, tuple[float, float]] = {}
 
 
 class DrainSection:
--- a/trefoilpier/config/build.py
+++ b/trefoilpier/config/build.py
@@ -2,6 +2,7 @@
 
 import datetime
 import ipaddress
+import math
 import re
 from collections.abc import Iterable
 
@@ -14,7 +15,8 @@
 _DURATION_ALLOWED = "a number with ms, s or min, such as 320ms"
 _LONGEST_DEADLINE = datetime.timedelta(minutes=5)
 _PORT_MAX = 65535
-_DEFAULT_BLOCK_SIZE = 100
+_DEFAULT_GATHERERS = 3
+_SLOT_HEADROOM = 1.8
 _DEFAULT_SHARD_KEY = re.compile(r"shard\.(\d+)")
 _KEYS_BY_KIND = {
     "fleet": {"vms", "spare"},
@@ -298,10 +300,13 @@
                 f"{1 + fleet.spare} or more",
             )
             limit = 1 + fleet.spare
-        most = section.integer("gatherers", 1, fleet.vms)
+        most = section.integer("gatherers", 1, _DEFAULT_GATHERERS)
         gatherers = min(fleet.vms, limit - fleet.spare, most)
         replicas = self._replicas(section)
-        size = section.integer("block_size", 1, _DEFAULT_BLOCK_SIZE)
+        leaves = {leaf_id for ids in replicas for leaf_id in ids}
+        default_size = max(1, math.ceil(len(leaves) / fleet.vms))
+        size = section.integer("block_size", 1, default_size)
+        slots = section.integer("slots", 1)
         made = blocks.make_blocks(
             group=name, leaf_ids_by_shard=replicas, block_size=size
         )
@@ -311,7 +316,8 @@
             epoch=section.integer("epoch", 1, 1),
             leaf_ids_by_shard=replicas,
             connection_limit=limit,
-            slots=section.integer("slots", 1),
+            slots=slots,
+            slot_share=_slot_share(slots, gatherers),
             gatherers=gatherers,
             connection_share=limit // (gatherers + fleet.spare),
             blocks=made,
@@ -387,6 +393,18 @@
         return service_by_name
 
 
+def _slot_share(slots: int, gatherers: int) -> int:
+    """Returns the calls that one gatherer may have out at a leaf.
+
+    All gatherers together may have 1.8 times the leaf's slots out, so that a
+    slot does not stand empty while an answer and the next call travel.
+
+    >>> _slot_share(2, 3), _slot_share(5, 3), _slot_share(2, 7)
+    (2, 3, 1)
+    """
+    return min(slots, math.ceil(_SLOT_HEADROOM * slots / gatherers))
+
+
 def build_config_set(
     *, version: int, objects: Iterable[bundle.RawObject]
 ) -> expression.Result[model.ConfigSet, list[findings.Finding]]:
--- a/trefoilpier/config/model.py
+++ b/trefoilpier/config/model.py
@@ -95,6 +95,7 @@
         leaf_ids_by_shard: The replicas of each shard.
         connection_limit: Connections that one leaf accepts in total.
         slots: Calls that one leaf runs at a time.
+        slot_share: Calls that one gatherer may have out at a leaf.
         gatherers: Nodes that connect to a leaf, not counting spares.
         connection_share: Connections to one leaf that one node may hold.
         blocks: The shards in runs that are placed together.
@@ -106,6 +107,7 @@
     leaf_ids_by_shard: tuple[tuple[str, ...], ...]
     connection_limit: int
     slots: int
+    slot_share: int
     gatherers: int
     connection_share: int
     blocks: tuple[Block, ...]
--- a/trefoilpier/limits/admission.py
+++ b/trefoilpier/limits/admission.py
@@ -1,6 +1,8 @@
 """Decides at the door whether a request can still be answered."""
 
 import datetime
+import random
+from collections.abc import Iterable
 
 import expression
 
@@ -9,6 +11,8 @@
 _PRESSURE_PERIOD_S = 0.005
 _RETRY_MIN_S = 0.05
 _SHARE_FROM = 0.5
+_REFUSE_NONE = 0.15
+_REFUSE_ALL = 0.45
 _DRAIN_RETRY = datetime.timedelta(milliseconds=50)
 
 
@@ -45,13 +49,19 @@
 class Admission:
     """Refuses at once what cannot be answered in time."""
 
-    __slots__ = ("_board", "_clock", "_fair", "_pressure_by_group")
+    __slots__ = ("_board", "_clock", "_fair", "_pressure_by_group", "_random")
 
     def __init__(
-        self, *, blackboard: board.Board, clock: base.Clock, places: int
+        self,
+        *,
+        blackboard: board.Board,
+        clock: base.Clock,
+        rng: random.Random,
+        places: int,
     ) -> None:
         self._board = blackboard
         self._clock = clock
+        self._random = rng
         self._fair = FairShare(places=places)
         self._pressure_by_group: dict[str, tuple[float, float]] = {}
 
@@ -93,17 +103,16 @@
                 _retry_after(wait),
             )
         wait = self.pressure(group)
-        needed = wait + self._typical(group)
         allowed = remaining
         if policy.mode == config.Mode.TAIL:
             allowed = min(remaining, policy.soft_deadline.total_seconds())
-        if wait > 0 and needed > allowed:
+        if self._random.random() < _refusal_share(wait / allowed):
             return _refuse(
                 base.ResultCode.OVERLOADED,
-                "the shards' queues are longer than the time left",
-                _retry_after(needed - allowed),
+                "the shards' queues are too long for the time left",
+                _retry_after(wait),
             )
-        if needed > remaining:
+        if wait + self._typical(group) > remaining:
             return _refuse(
                 base.ResultCode.DEADLINE_TOO_SHORT,
                 "the deadline is shorter than the usual answer time",
@@ -114,27 +123,29 @@
     def pressure(self, group: config.ShardGroup) -> float:
         """Returns the seconds that a new call would wait at worst.
 
-        It is the longest, over the shards, of the shortest wait among the
-        shard's leaves, and is computed at most once in 5 ms.
+        It is the longest wait over the group's blocks, and is computed at
+        most once in 5 ms.
         """
         now = self._clock.monotonic()
         known = self._pressure_by_group.get(group.name)
         if known is not None and now - known[0] < _PRESSURE_PERIOD_S:
             return known[1]
+        leaves = self._board.leaves
         worst = 0.0
-        state_by_id = self._board.leaves.state_by_id
-        for leaf_ids in group.leaf_ids_by_shard:
-            waits = [
-                _leaf_wait(state_by_id[leaf_id])
-                for leaf_id in leaf_ids
-                if leaf_id in state_by_id
-                and state_by_id[leaf_id].phase == board.LeafPhase.UP
-            ]
-            if waits:
-                worst = max(worst, min(waits))
+        for block in group.blocks:
+            if block.leaf_ids[0] in leaves.state_by_id:
+                wait = longest_wait(leaves, group, block.shards)
+            else:
+                wait = self._reported_wait(block.id, now)
+            worst = max(worst, wait)
         self._pressure_by_group[group.name] = (now, worst)
         return worst
 
+    def _reported_wait(self, block_id: str, now: float) -> float:
+        """Returns what a block's gatherer last said, fading with its age."""
+        wait, at = self._board.queries.wait_by_block.get(block_id, (0.0, 0.0))
+        return max(0.0, wait - (now - at))
+
     def _typical(self, group: config.ShardGroup) -> float:
         """Returns the usual latency of the group's fastest leaves."""
         state_by_id = self._board.leaves.state_by_id
@@ -151,6 +162,38 @@
         return best
 
 
+def _refusal_share(wait: float) -> float:
+    """Returns which share of requests to refuse at a relative wait.
+
+    Refusing a growing share, instead of all above one bound, keeps the queues
+    steady although the nodes hear of each other's queues late.
+
+    >>> [round(_refusal_share(wait), 2) for wait in (0.1, 0.3, 0.6)]
+    [0.0, 0.5, 1.0]
+    """
+    share = (wait - _REFUSE_NONE) / (_REFUSE_ALL - _REFUSE_NONE)
+    return min(1.0, max(0.0, share))
+
+
+def longest_wait(
+    leaves: board.LeafSection,
+    group: config.ShardGroup,
+    shards: Iterable[int],
+) -> float:
+    """Returns the longest wait over held shards, each at its best leaf."""
+    worst = 0.0
+    for shard in shards:
+        waits = [
+            _leaf_wait(leaves.state_by_id[leaf_id])
+            for leaf_id in group.leaf_ids_by_shard[shard]
+            if leaf_id in leaves.state_by_id
+            and leaves.state_by_id[leaf_id].phase == board.LeafPhase.UP
+        ]
+        if waits:
+            worst = max(worst, min(waits))
+    return worst
+
+
 def _leaf_wait(state: board.LeafState) -> float:
     """Estimates the seconds until a new call would be sent to a leaf."""
     if not state.queued:
--- a/trefoilpier/limits/concurrency.py
+++ b/trefoilpier/limits/concurrency.py
@@ -6,7 +6,7 @@
 
 
 class ConcurrencyLimit:
-    """Additive increase, multiplicative decrease, within the leaf's slots.
+    """Additive increase, multiplicative decrease, within a share of slots.
 
     A shed lowers the limit at most once in 50 ms. An answered call raises it
     if the limit was in use and the latency is near the leaf's best.
--- a/trefoilpier/limits/lane.py
+++ b/trefoilpier/limits/lane.py
@@ -53,7 +53,7 @@
         self, *, state: board.LeafState, now: Callable[[], float]
     ) -> None:
         self.state = state
-        self.limit = concurrency.ConcurrencyLimit(slots=state.group.slots)
+        self.limit = concurrency.ConcurrencyLimit(slots=state.group.slot_share)
         self._now = now
         self._heap_by_service: dict[str, list] = {}
         self._turns: collections.deque[str] = collections.deque()
--- a/trefoilpier/node/leaf_controller.py
+++ b/trefoilpier/node/leaf_controller.py
@@ -126,7 +126,9 @@
         now = self._clock.monotonic()
         if state is not None and state.leaf == held:
             state.group = group
-            self._context.lane_by_leaf[held.id].limit.set_slots(group.slots)
+            self._context.lane_by_leaf[held.id].limit.set_slots(
+                group.slot_share
+            )
         else:
             state = board.LeafState(leaf=held, group=group, now=now)
             states[held.id] = state
--- a/trefoilpier/node/node.py
+++ b/trefoilpier/node/node.py
@@ -144,6 +144,7 @@
             admission=limits.Admission(
                 blackboard=blackboard,
                 clock=parts.clock,
+                rng=parts.rng,
                 places=parts.queries_max,
             ),
             claims=once.Claims(
--- a/trefoilpier/peer/codec.py
+++ b/trefoilpier/peer/codec.py
@@ -153,6 +153,7 @@
     "calls",
     "extra",
     "offered",
+    "wait_ms",
 )
 
 
@@ -180,6 +181,7 @@
         calls=row.calls,
         extra=row.extra,
         offered=tuple(row.offered),
+        wait_ms=row.waitMs,
     )
 
 
--- a/trefoilpier/peer/messages.capnp
+++ b/trefoilpier/peer/messages.capnp
@@ -72,6 +72,7 @@
   calls @8 :UInt32;
   extra @9 :UInt32;
   offered @10 :List(UInt64);
+  waitMs @11 :UInt32;
 }
 
 struct Cancel {
--- a/trefoilpier/peer/messages.py
+++ b/trefoilpier/peer/messages.py
@@ -55,6 +55,7 @@
         calls: Leaf calls made.
         extra: Hedges and retries among them.
         offered: Index versions that all the shards asked for can serve now.
+        wait_ms: How long a new call for these shards would wait at worst.
     """
 
     id: str
@@ -70,6 +71,7 @@
     calls: int = 0
     extra: int = 0
     offered: tuple[int, ...] = ()
+    wait_ms: int = 0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/trefoilpier/query/fanout.py
+++ b/trefoilpier/query/fanout.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from trefoilpier import base, board, config, limits, routing
+from trefoilpier import base, board, config, limits, peer, routing
 from trefoilpier.query import peers, remote
 
 _ENTRY_EXTRA_SHARE = 0.2
@@ -26,6 +26,7 @@
         "_snapshots",
         "_spec",
         "_timers",
+        "_wait_by_block",
         "total",
     )
 
@@ -57,6 +58,7 @@
         """
         self.total = len(shards)
         self._clock = context.clock
+        self._wait_by_block = context.board.queries.wait_by_block
         self._snapshots = snapshots
         self._budget = budget
         self._spec = query
@@ -124,20 +126,26 @@
         self,
         part: remote.RemotePart,
         result: routing.GatherResult,
-        offered: tuple[int, ...],
+        partial: peer.Partial | None,
     ) -> None:
         """Takes in a partial and remembers what its gatherer offers."""
-        if offered:
-            self._learn(part.shards, offered)
+        if partial is not None:
+            self._learn(part.shards, partial)
         self._merge(result)
 
-    def _learn(self, shards: tuple[int, ...], offered: tuple[int, ...]) -> None:
+    def _learn(self, shards: tuple[int, ...], partial: peer.Partial) -> None:
+        """Keeps the versions and the wait that a gatherer reports."""
         group = self._spec.group
-        blocks = {group.block_by_shard[shard].id for shard in shards}
-        for block in group.blocks:
-            if block.id in blocks:
+        now = self._clock.monotonic()
+        block_by_id = {
+            group.block_by_shard[shard].id: group.block_by_shard[shard]
+            for shard in shards
+        }
+        for block in block_by_id.values():
+            self._wait_by_block[block.id] = (partial.wait_ms / 1000, now)
+            if partial.offered:
                 self._snapshots.learn(
-                    block.id, dict.fromkeys(block.shards, offered)
+                    block.id, dict.fromkeys(block.shards, partial.offered)
                 )
 
     def _merge(self, part: routing.GatherResult) -> None:
--- a/trefoilpier/query/gatherer.py
+++ b/trefoilpier/query/gatherer.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from trefoilpier import base, board, config, peer, routing
+from trefoilpier import base, board, config, limits, peer, routing
 
 _GATHERER_EXTRA_SHARE = 0.8
 _RETRY_AFTER_MS = 50
@@ -178,6 +178,11 @@
                 calls=result.calls,
                 extra=result.extra,
                 offered=self._snapshots.offered(group, message.shards),
+                wait_ms=_milliseconds(
+                    limits.longest_wait(
+                        self._board.leaves, group, message.shards
+                    )
+                ),
             ),
         )
 
--- a/trefoilpier/query/remote.py
+++ b/trefoilpier/query/remote.py
@@ -59,7 +59,9 @@
         gatherers: tuple[str, ...],
         budget: limits.LoadBudget,
         latency_by_node: dict[str, board.LatencyTracker],
-        on_done: Callable[["RemotePart", routing.GatherResult, tuple], None],
+        on_done: Callable[
+            ["RemotePart", routing.GatherResult, peer.Partial | None], None
+        ],
     ) -> None:
         """Prepares the part.
 
@@ -71,7 +73,7 @@
             gatherers: Nodes to ask, in order.
             budget: Pays for asking again, one token a shard.
             latency_by_node: Observed answer times of peers.
-            on_done: Gets the result and the versions offered, once.
+            on_done: Gets the result once, and the partial that gave it.
         """
         self.shards = shards
         self._clock = clock
@@ -192,7 +194,7 @@
         result.calls += reply.calls
         result.extra += reply.extra
         result.retry_after = reply.retry_after_ms / 1000
-        self._finish(reply.offered)
+        self._finish(reply)
 
     def _lost(self) -> None:
         """Handles a request whose end is not known."""
@@ -222,12 +224,12 @@
         self._result.reason_by_missing = dict.fromkeys(self.shards, reason)
         if self._unknown:
             self._result.ran = base.Ran.UNKNOWN
-        self._finish(())
+        self._finish(None)
 
-    def _finish(self, offered: tuple[int, ...]) -> None:
+    def _finish(self, partial: peer.Partial | None) -> None:
         self._done = True
         self._withdraw()
-        self._on_done(self, self._result, offered)
+        self._on_done(self, self._result, partial)
 
     def _withdraw(self) -> None:
         if self._hedge_timer is not None:
