Membership: exchange only what differs, and meet few VMs at a join

Ruled out: probing (2 messages a second at every size). Each exchange of tables carried all records both ways, and a joining node pinged every listed VM.

Change: 64 digests of the table travel instead, and only the records of differing buckets follow; records that came so are not told on as news; a join meets five VMs and asks the first for its table.

--- a/bench/main.py
+++ b/bench/main.py
@@ -6,9 +6,10 @@
 import sys
 from collections.abc import Callable, Iterator
 
-from bench import decisions, figures
+from bench import control, decisions, figures
 
 _JOBS_BY_NAME: dict[str, Callable[[], list[tuple]]] = {
+    "control": control.jobs,
     "decisions": decisions.jobs,
     "gatherers": decisions.gatherer_jobs,
 }
--- a/trefoilpier/membership/swim.py
+++ b/trefoilpier/membership/swim.py
@@ -16,9 +16,10 @@
 from dataclasses import dataclass
 
 from trefoilpier import base, board, peer, platform
-from trefoilpier.membership import news
+from trefoilpier.membership import digest, news
 
 _HELPERS = 3
+_MEET_MAX = 5
 _FAR_PROBE_SHARE = 0.1
 _FORGET_DEAD_S = 600.0
 
@@ -47,6 +48,7 @@
         "_board",
         "_clock",
         "_dead_at_by_id",
+        "_joined",
         "_log",
         "_news",
         "_on_change",
@@ -91,6 +93,7 @@
         self._relay_by_sequence: dict[int, tuple[int, peer.PeerAddress]] = {}
         self._suspicion_by_id: dict[str, base.Timer] = {}
         self._dead_at_by_id: dict[str, float] = {}
+        self._joined = False
 
     def start(self, own: board.NodeRecord) -> None:
         """Enters this node's own record and begins to probe."""
@@ -112,11 +115,12 @@
     def meet(self, records: Iterable[platform.VmRecord]) -> None:
         """Takes in the platform's membership list.
 
-        A VM that is listed and not known live is probed, which also joins the
-        two halves of a healed partition. The list never declares anyone live
-        or dead by itself.
+        A few VMs that are listed and not known live are probed, which also
+        joins the two halves of a healed partition. The list never declares
+        anyone live or dead by itself.
         """
         listed = set()
+        unknown: list[platform.VmRecord] = []
         for record in records:
             listed.add(record.id)
             known = self._board.nodes.node_by_id.get(record.id)
@@ -126,6 +130,9 @@
                 continue
             if record.state == platform.VmState.LEAVING:
                 continue
+            unknown.append(record)
+        count = min(_MEET_MAX, len(unknown))
+        for record in self._random.sample(unknown, count):
             address = peer.PeerAddress(host=record.host, port=record.port)
             self._send_datagram(address, self._make_ping(""))
         self._forget(listed)
@@ -157,11 +164,9 @@
             if address is not None:
                 self._relay(message, address)
         elif isinstance(message, peer.NodesPull):
-            reply = peer.NodesReply(id=message.id, nodes=self._all_records())
-            self._take_news(message.nodes, ())
-            self._send(sender, reply)
+            self._answer_pull(sender, message)
         elif isinstance(message, peer.NodesReply):
-            self._take_news(message.nodes, ())
+            self._take_reply(sender, message)
 
     def _own(self) -> board.NodeRecord:
         nodes = self._board.nodes
@@ -305,8 +310,17 @@
         self,
         records: Iterable[board.NodeRecord],
         leaving_leaves: Iterable[str],
+        *,
+        tell: bool = True,
     ) -> None:
-        """Takes in records that are newer than the known ones."""
+        """Takes in records that are newer than the known ones.
+
+        Args:
+            records: Records that a peer has sent.
+            leaving_leaves: Leaves that it says are leaving.
+            tell: Whether to pass the changes on; those that came by an
+                exchange of tables are known elsewhere already.
+        """
         nodes = self._board.nodes
         for record in records:
             if record.id == nodes.self_id:
@@ -316,10 +330,18 @@
             if known is None and record.state == board.NodeState.DEAD:
                 continue
             if known is None or record.supersedes(known):
-                self._store(record)
+                self._store(record, tell=tell)
+                self._join(record)
         for leaf_id in leaving_leaves:
             self.leaf_leaving(leaf_id)
 
+    def _join(self, record: board.NodeRecord) -> None:
+        """Asks the first node that was met for all records."""
+        if self._joined:
+            return
+        self._joined = True
+        self._send(record.id, peer.NodesPull(id=""))
+
     def _refute(self, record: board.NodeRecord) -> None:
         """Answers a wrong belief about this node with a higher incarnation."""
         own = self._own()
@@ -330,12 +352,13 @@
             dataclasses.replace(own, incarnation=record.incarnation + 1)
         )
 
-    def _store(self, record: board.NodeRecord) -> None:
+    def _store(self, record: board.NodeRecord, *, tell: bool = True) -> None:
         """Writes a record to the blackboard and queues it as news."""
         nodes = self._board.nodes
         before = nodes.node_by_id.get(record.id)
         nodes.node_by_id[record.id] = record
-        self._news.add(record)
+        if tell:
+            self._news.add(record)
         timer = self._suspicion_by_id.pop(record.id, None)
         if timer is not None:
             timer.cancel()
@@ -377,14 +400,35 @@
                 del self._board.nodes.node_by_id[node_id]
 
     def _sync(self) -> None:
-        """Exchanges all records with a random node."""
+        """Exchanges the records that differ with a random node."""
         self._clock.call_later(self._timing.sync, self._sync)
         others = self._others()
         if not others:
             return
-        pull = peer.NodesPull(id="", nodes=self._all_records())
+        own = digest.digests(self._all_records())
+        pull = peer.NodesPull(id="", digests=own)
         self._send(self._random.choice(others), pull)
 
+    def _answer_pull(self, sender: str, pull: peer.NodesPull) -> None:
+        """Sends the records of the buckets that differ."""
+        records = self._all_records()
+        own = digest.digests(records)
+        found = digest.differing(records, own, pull.digests)
+        if found:
+            self._send(sender, peer.NodesReply(id=pull.id, nodes=found))
+
+    def _take_reply(self, sender: str, reply: peer.NodesReply) -> None:
+        """Takes in records and gives back those that are newer here."""
+        known = self._board.nodes.node_by_id
+        newer = tuple(
+            known[record.id]
+            for record in reply.nodes
+            if record.id in known and known[record.id].supersedes(record)
+        )
+        self._take_news(reply.nodes, (), tell=False)
+        if newer:
+            self._send(sender, peer.NodesReply(id=reply.id, nodes=newer))
+
     def _log_change(self, record: board.NodeRecord) -> None:
         event = _EVENT_BY_STATE[record.state]
         self._log.emit(event, node=record.id, incarnation=record.incarnation)
--- a/trefoilpier/peer/codec.py
+++ b/trefoilpier/peer/codec.py
@@ -268,9 +268,7 @@
     )
 
 
-def _write_node_list(
-    row: Any, message: messages.NodesPull | messages.NodesReply
-) -> None:
+def _write_node_list(row: Any, message: messages.NodesReply) -> None:
     row.id = message.id
     _write_nodes(row.init("nodes", len(message.nodes)), message.nodes)
 
@@ -296,7 +294,7 @@
     messages.Ack: ("ack", _write_ping),
     messages.PingRequest: ("pingRequest", _write_ping_request),
     messages.Notice: ("notice", _write_fields("hops")),
-    messages.NodesPull: ("nodesPull", _write_node_list),
+    messages.NodesPull: ("nodesPull", _write_fields("id", "digests")),
     messages.NodesReply: ("nodesReply", _write_node_list),
 }
 _READER_BY_NAME: dict[str, Callable[[Any], messages.Message]] = {
@@ -323,7 +321,7 @@
     "pingRequest": _read_ping_request,
     "notice": lambda row: messages.Notice(hops=row.hops),
     "nodesPull": lambda row: messages.NodesPull(
-        id=row.id, nodes=_read_nodes(row.nodes)
+        id=row.id, digests=tuple(row.digests)
     ),
     "nodesReply": lambda row: messages.NodesReply(
         id=row.id, nodes=_read_nodes(row.nodes)
--- a/trefoilpier/peer/messages.capnp
+++ b/trefoilpier/peer/messages.capnp
@@ -144,7 +144,7 @@
 
 struct NodesPull {
   id @0 :Text;
-  nodes @1 :List(Node);
+  digests @1 :List(UInt64);
 }
 
 struct NodesReply {
--- a/trefoilpier/peer/messages.py
+++ b/trefoilpier/peer/messages.py
@@ -165,15 +165,18 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class NodesPull:
-    """Sends all known nodes and asks for the other's."""
+    """Asks for the records of the buckets whose digests differ.
+
+    Without digests all records are asked for, as by a node that has joined.
+    """
 
     id: str
-    nodes: tuple[board.NodeRecord, ...]
+    digests: tuple[int, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class NodesReply:
-    """Answers a `NodesPull`."""
+    """Answers a `NodesPull`, or gives back what is newer than an answer."""
 
     id: str
     nodes: tuple[board.NodeRecord, ...]
