--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of the promises with real processes and induced failures."""
--- a/standins/leaf_model.py
+++ b/standins/leaf_model.py
@@ -118,6 +118,7 @@
         faults: Faults that are on.
         ledger: Calls that ran, oldest first.
         count_by_status: Answers by status.
+        on_run: Called with each run, before its answer.
     """
 
     __slots__ = (
@@ -130,6 +131,7 @@
         "count_by_status",
         "faults",
         "ledger",
+        "on_run",
         "setup",
     )
 
@@ -140,6 +142,7 @@
         self.faults = LeafFaults()
         self.ledger: collections.deque[Run] = collections.deque(maxlen=200_000)
         self.count_by_status: dict[str, int] = {}
+        self.on_run: Callable[[Run], None] = lambda run: None
         self._clock = clock
         self._random = rng
         self._running = 0
@@ -236,16 +239,16 @@
         self._running -= 1
         call = job.call
         self._job_by_id.pop(call["id"], None)
-        self.ledger.append(
-            Run(
-                call_id=call["id"],
-                key=call["key"],
-                service=call["service"],
-                shard=call["shard"],
-                version=call["version"],
-                at=self._clock.monotonic(),
-            )
+        run = Run(
+            call_id=call["id"],
+            key=call["key"],
+            service=call["service"],
+            shard=call["shard"],
+            version=call["version"],
+            at=self._clock.monotonic(),
         )
+        self.ledger.append(run)
+        self.on_run(run)
         if self._random.random() < self.faults.fail_share:
             self._answer(call, job.reply, "failed", None)
         else:
