bin/prove: failures in pairs on different VMs, and killed leaves

Cause: the first long run ended with a refused connection: it switched a fault off at a leaf process that its pair had killed. The system was not at fault.

Change: switching a fault of a killed process is skipped, since a new process has none; two failures at once never choose the same VM.

--- a/proofs/main.py
+++ b/proofs/main.py
@@ -1,6 +1,7 @@
 """``bin/prove [--seconds N] [--seed S]``: random failures until time is up."""
 
 import argparse
+import contextlib
 import random
 import signal
 import sys
@@ -24,6 +25,7 @@
         self._stage = stage
         self._random = random.Random(seed)
         self._version = 1
+        self._harmed: set[int] = set()
         self.induced: dict[str, int] = {}
         self._fault_by_name: dict[str, Callable[[], Callable[[], None]]] = {
             "leaf slow": lambda: self._leaf(slow_factor=30.0),
@@ -66,7 +68,7 @@
 
     def _leaf(self, **fault: object) -> Callable[[], None]:
         leaf_id = self._random.choice(sorted(self._stage.rig.set.leaf_by_id))
-        self._stage.rig.leaf_faults(leaf_id, **fault)
+        self._switch(leaf_id, fault)
         calm = {
             "slow_factor": 1.0,
             "shed_share": 0.0,
@@ -77,7 +79,12 @@
             "drain": False,
             "frozen": False,
         }
-        return lambda: self._stage.rig.leaf_faults(leaf_id, **calm)
+        return lambda: self._switch(leaf_id, calm)
+
+    def _switch(self, leaf_id: str, fault: dict) -> None:
+        """Switches a leaf's faults; a killed process has none to switch."""
+        with contextlib.suppress(OSError):
+            self._stage.rig.leaf_faults(leaf_id, **fault)
 
     def _platform(self, **fault: object) -> Callable[[], None]:
         self._stage.rig.platform_faults(**fault)
@@ -103,37 +110,51 @@
         return again
 
     def _vm(self) -> int:
-        return self._random.randrange(len(self._stage.rig.nodes))
+        """Chooses a VM that has no failure at the moment."""
+        free = [
+            k
+            for k in range(len(self._stage.rig.nodes))
+            if k not in self._harmed
+        ]
+        index = self._random.choice(free)
+        self._harmed.add(index)
+        return index
+
+    def _start_vm(self, index: int) -> None:
+        self._harmed.discard(index)
+        self._stage.rig.start_node(self._stage.rig.nodes[index])
 
     def _kill_vm(self) -> Callable[[], None]:
         index = self._vm()
         self._stage.kill(index)
         self._stage.wait_exit(index)
-        return lambda: self._stage.rig.start_node(self._stage.rig.nodes[index])
+        return lambda: self._start_vm(index)
 
     def _freeze_vm(self) -> Callable[[], None]:
         index = self._vm()
         self._stage.kill(index, signal.SIGSTOP)
-        return lambda: self._stage.kill(index, signal.SIGCONT)
+
+        def again() -> None:
+            self._harmed.discard(index)
+            self._stage.kill(index, signal.SIGCONT)
+
+        return again
 
     def _replace_vm(self) -> Callable[[], None]:
         index = self._vm()
         self._stage.kill(index, signal.SIGTERM)
 
         def again() -> None:
-            self._stage.kill(index, signal.SIGCONT)
             self._stage.wait_exit(index, 30.0)
-            self._stage.rig.start_node(self._stage.rig.nodes[index])
+            self._start_vm(index)
 
         return again
 
     def _change_index(self) -> Callable[[], None]:
         self._version += 1
-        try:
+        # A leaf process that is down takes the version at its restart.
+        with contextlib.suppress(OSError):
             self._stage.change_index(self._version, pause=0.1)
-        except OSError:
-            # A leaf process that is down takes the version at its restart.
-            pass
         return lambda: None
 
 
