--- a/trefoilpier/leaf/http_transport.py
+++ b/trefoilpier/leaf/http_transport.py
@@ -10,12 +10,14 @@
 from trefoilpier.leaf import api, pool
 
 _SWEEP_PERIOD_S = 0.025
+_SWEEP_ALL_PERIOD_S = 0.25
 
 
 class HttpLeafTransport(api.LeafTransport):
     """Holds one pool for each leaf and sweeps them for silent connections."""
 
     __slots__ = (
+        "_active",
         "_clock",
         "_closing",
         "_listener",
@@ -24,6 +26,7 @@
         "_random",
         "_reactor",
         "_sweeping",
+        "_swept_all_at",
     )
 
     def __init__(
@@ -42,6 +45,8 @@
         self._listener: Callable[[str, api.LeafReport | None], None] = (
             lambda leaf_id, report: None
         )
+        self._active: set[pool.LeafPool] = set()
+        self._swept_all_at = 0.0
         self._closing: list[pool.LeafPool] = []
         self._sweeping = False
 
@@ -91,6 +96,7 @@
             reply = api.LeafReply(status=api.CallStatus.NOT_SENT)
             self._clock.call_later(0, call.on_reply, reply)
             return
+        self._active.add(held)
         held.call(call)
 
     def cancel(self, leaf_id: str, call_id: str) -> None:
@@ -119,12 +125,15 @@
         return endpoint.connect(factory)
 
     def _sweep(self) -> None:
+        """Sweeps the pools with calls often, and all of them now and then."""
         now = self._clock.monotonic()
-        for held in self._pool_by_leaf.values():
+        for held in list(self._active):
             held.sweep(now)
-        for held in self._closing:
-            held.sweep(now)
-        self._closing = [
-            held for held in self._closing if held.connection_count
-        ]
+            if held.quiet:
+                self._active.discard(held)
+        if now - self._swept_all_at >= _SWEEP_ALL_PERIOD_S:
+            self._swept_all_at = now
+            for held in [*self._pool_by_leaf.values(), *self._closing]:
+                held.sweep(now)
+            self._closing = [h for h in self._closing if h.connection_count]
         self._clock.call_later(_SWEEP_PERIOD_S, self._sweep)
--- a/trefoilpier/leaf/pool.py
+++ b/trefoilpier/leaf/pool.py
@@ -60,6 +60,7 @@
 
     __slots__ = (
         "_backoff",
+        "_calls_out",
         "_cancelled",
         "_clock",
         "_closed",
@@ -100,6 +101,7 @@
         self._waiting: collections.deque[api.LeafCall] = collections.deque()
         self._cancelled: collections.deque[str] = collections.deque()
         self._opening = 0
+        self._calls_out = 0
         self._backoff = _BACKOFF_MIN_S
         self._next_open_at = 0.0
         self._suspect_since = 0.0
@@ -116,6 +118,11 @@
         """Connections that are open or being opened."""
         return self._opening + len(self._idle) + len(self._out_by_connection)
 
+    @property
+    def quiet(self) -> bool:
+        """Whether no call is out or waiting."""
+        return not self._calls_out and not self._waiting
+
     def set_share(self, share: int) -> None:
         """Changes how many connections may be open."""
         self._share = share
@@ -206,7 +213,7 @@
         self, out_connection: connection.LeafConnection, out: _Out
     ) -> None:
         """Closes a silent connection and ends its call."""
-        del self._out_by_connection[out_connection]
+        self._forget_out(out_connection)
         out_connection.abort()
         self._suspect_since = self._clock.monotonic()
         self._log.emit(
@@ -218,6 +225,15 @@
             self._end(out.call, api.CallStatus.SILENT)
         self._pump()
 
+    def _forget_out(
+        self, out_connection: connection.LeafConnection
+    ) -> _Out | None:
+        """Takes a connection out of those with a request out."""
+        out = self._out_by_connection.pop(out_connection, None)
+        if out is not None and out.call is not None:
+            self._calls_out -= 1
+        return out
+
     def _end(self, call: api.LeafCall, status: api.CallStatus) -> None:
         """Ends a call without an answer, on the next turn of the loop."""
         reply = api.LeafReply(status=status)
@@ -253,6 +269,7 @@
         body = codec.encode_call(call.head, call.id, call.shard, remaining_ms)
         out = _Out(call=call, sent_at=now)
         self._out_by_connection[idle] = out
+        self._calls_out += 1
         idle.send(
             b"POST", _CALL_PATH, body, lambda data: self._answered(idle, data)
         )
@@ -261,7 +278,7 @@
         self, busy: connection.LeafConnection, data: bytes | None
     ) -> None:
         """Takes in the answer to a call."""
-        out = self._out_by_connection.pop(busy, None)
+        out = self._forget_out(busy)
         if out is None or out.call is None:
             return
         call = out.call
@@ -335,12 +352,7 @@
     def _grow(self) -> None:
         """Opens connections so that one more than the busy ones is there."""
         now = self._clock.monotonic()
-        busy = sum(
-            1
-            for out in self._out_by_connection.values()
-            if out.call is not None
-        )
-        wanted = min(self._share, busy + len(self._waiting) + 1)
+        wanted = min(self._share, self._calls_out + len(self._waiting) + 1)
         if now < self._next_open_at:
             return
         while self.connection_count < wanted:
@@ -376,9 +388,7 @@
         self._backoff = min(_BACKOFF_MAX_S, self._backoff * 2)
         jitter = 0.5 + self._random.random()
         self._next_open_at = self._clock.monotonic() + self._backoff * jitter
-        if self._idle or any(
-            out.call is not None for out in self._out_by_connection.values()
-        ):
+        if self._idle or self._calls_out:
             return
         while self._waiting:
             self._end(self._waiting.popleft(), api.CallStatus.NOT_SENT)
@@ -386,7 +396,7 @@
 
     def _lost(self, closed: connection.LeafConnection) -> None:
         """Forgets a closed connection."""
-        self._out_by_connection.pop(closed, None)
+        self._forget_out(closed)
         if closed in self._idle:
             self._idle.remove(closed)
         if not closed.proven and not self._closed:
