Replica choice: try leaves without samples; fade by the last sample

Cause: with the leaf's own drain word switched off, the proof of leaving still passed: after seven calls nobody asked the leaf at all. A leaf that had never answered was taken to need 20 ms, faster replicas took all the work, and the age that fades an old latency counted from the last answer of any kind, which a probe renews each second. Ruled out: the drain path (it was off) and the stand-in (it answered "draining").

Change: a leaf without samples counts as the best; an old latency fades from its last sample.

--- a/proofs/tests/test_promises.py
+++ b/proofs/tests/test_promises.py
@@ -198,7 +198,15 @@
         "version 3 in force everywhere",
     )
     stage.rig.platform_faults(down=False, stale_reads=True)
-    _settle(2.0)
+    rig.wait_until(
+        lambda: any(
+            "TPE-4003" in stage.rig.log_text(node.id)
+            for node in stage.rig.nodes
+        ),
+        15.0,
+        "an older version read and ignored",
+    )
+    _settle(1.0)
     assert stage.finish() == []
 
 
--- a/trefoilpier/board/leaves.py
+++ b/trefoilpier/board/leaves.py
@@ -77,6 +77,7 @@
         shards: Shards that it says it holds.
         latency: Observed latency of answered calls.
         last_reply_at: Monotonic instant of the last answer of any kind.
+        sampled_at: Monotonic instant of the last latency sample.
         reported_load: Load that the leaf last reported, 0 to 1.
         reported_at: Monotonic instant of that report.
         failures: Failed calls or probes since the last answer.
@@ -99,6 +100,7 @@
         "queued",
         "reported_at",
         "reported_load",
+        "sampled_at",
         "shards",
         "versions",
     )
@@ -115,6 +117,7 @@
         self.shards: frozenset[int] = frozenset()
         self.latency = LatencyTracker()
         self.last_reply_at = 0.0
+        self.sampled_at = 0.0
         self.reported_load = 0.0
         self.reported_at = 0.0
         self.failures = 0
--- a/trefoilpier/routing/gather.py
+++ b/trefoilpier/routing/gather.py
@@ -227,11 +227,13 @@
         state = out.state
         latency = now - out.sent_at
         if reply.status == leaf.CallStatus.OK:
+            state.sampled_at = now
             state.latency.add(latency)
             out.lane.answered(latency)
         elif reply.status == leaf.CallStatus.SHED:
             out.lane.shed()
         elif reply.status in attempt.UNFINISHED:
+            state.sampled_at = now
             state.latency.add_unfinished(latency)
         if reply.status not in attempt.CLIENT_SIDE:
             state.last_reply_at = now
--- a/trefoilpier/routing/replica.py
+++ b/trefoilpier/routing/replica.py
@@ -58,7 +58,7 @@
         if len(candidates) > 2:
             candidates = self._random.sample(candidates, 2)
         first, second = candidates
-        best = min(first.latency.mean, second.latency.mean)
+        best = _best_mean(first, second)
         cost_first = self._cost(first, now, best)
         cost_second = self._cost(second, now, best)
         if first.leaf.id in asked:
@@ -102,11 +102,22 @@
     def _cost(self, state: board.LeafState, now: float, best: float) -> float:
         """Estimates the seconds until an answer of a leaf."""
         mean = state.latency.mean
-        if mean > best:
-            age = now - state.last_reply_at
+        if not state.latency.samples:
+            # Nothing is known of it, so it is tried like the best one.
+            mean = best
+        elif mean > best:
+            age = now - state.sampled_at
             mean = best + (mean - best) * 0.5 ** (age / _LATENCY_HALF_LIFE_S)
         busy = (state.in_flight + state.queued + 1) / max(1.0, state.limit)
         hint = 0.0
         if now - state.reported_at < _LOAD_HINT_AGE_S:
             hint = _LOAD_HINT_WEIGHT * min(1.0, max(0.0, state.reported_load))
         return mean * busy * (1.0 + hint)
+
+
+def _best_mean(first: board.LeafState, second: board.LeafState) -> float:
+    """Returns the lower mean latency of the leaves that have samples."""
+    means = [
+        state.latency.mean for state in (first, second) if state.latency.samples
+    ]
+    return min(means, default=first.latency.mean)
