--- a/trefoilpier/membership/swim.py
+++ b/trefoilpier/membership/swim.py
@@ -332,6 +332,9 @@
             if known is None or record.supersedes(known):
                 self._store(record, tell=tell)
                 self._join(record)
+            elif known.supersedes(record):
+                # Its node must hear what is believed of it, to refute it.
+                self._news.add(known)
         for leaf_id in leaving_leaves:
             self.leaf_leaving(leaf_id)
 
