--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -126,7 +126,12 @@
             self.clock.advance(0.01)
         return outcomes[0]
 
-    def add_node(self, node_id: str, index: int = 0) -> node.Node:
+    def add_node(
+        self,
+        node_id: str,
+        index: int = 0,
+        seeds: tuple[peer.PeerAddress, ...] = (),
+    ) -> node.Node:
         """Starts a node, or a new process of one that was killed."""
         self._incarnation += 1
         zone = self.zones[index % len(self.zones)] if self.zones else "zone"
@@ -154,6 +159,7 @@
             store=self.store,
             timing=self.timing,
             queries_max=self.queries_max,
+            seeds=seeds,
         )
         made = node.Node(own=own, parts=parts)
         self.node_by_id[node_id] = made
--- a/trefoilpier/config/settings.py
+++ b/trefoilpier/config/settings.py
@@ -31,6 +31,8 @@
         caller_idle: Idle time after which a caller connection is closed.
         peer_port: TCP and UDP port for other entry VMs.
         peer_key: Shared secret of the entry VMs.
+        peer_seeds: Addresses of peers to join by when the platform's list
+            cannot be read.
         platform_host: IP number of the platform's service.
         platform_port: Port of the platform's service.
         queries_max: Queries in flight.
@@ -50,6 +52,7 @@
     caller_idle: datetime.timedelta
     peer_port: int
     peer_key: bytes
+    peer_seeds: tuple[tuple[str, int], ...]
     platform_host: str
     platform_port: int
     queries_max: int
@@ -106,6 +109,14 @@
     return text.encode()
 
 
+def _read_seeds(text: str) -> tuple[tuple[str, int], ...]:
+    seeds = []
+    for word in text.split():
+        host, _, port = word.rpartition(":")
+        seeds.append((_read_host(host.strip("[]")), _read_port(port)))
+    return tuple(seeds)
+
+
 def _read_choice(*allowed: str) -> Callable[[str], str]:
     def read(text: str) -> str:
         if text not in allowed:
@@ -165,6 +176,13 @@
         allowed=f"at least {_KEY_CHARACTERS_MIN} characters",
         read=_read_key,
     ),
+    "peer_seeds": _Key(
+        section="peer",
+        name="seeds",
+        allowed="IP:PORT, with spaces between",
+        read=_read_seeds,
+        default="",
+    ),
     "platform_host": _Key(
         section="platform",
         name="host",
--- a/trefoilpier/membership/swim.py
+++ b/trefoilpier/membership/swim.py
@@ -95,15 +95,32 @@
         self._dead_at_by_id: dict[str, float] = {}
         self._joined = False
 
-    def start(self, own: board.NodeRecord) -> None:
-        """Enters this node's own record and begins to probe."""
+    def start(
+        self, own: board.NodeRecord, seeds: tuple[peer.PeerAddress, ...] = ()
+    ) -> None:
+        """Enters this node's own record and begins to probe.
+
+        Args:
+            own: This node.
+            seeds: Peers that are pinged until another node is known.
+        """
         self._store(own)
+        self._knock(seeds)
         jitter = self._random.random() * self._timing.period
         self._clock.call_later(jitter, self._probe_next)
         self._clock.call_later(
             self._timing.sync * self._random.random(), self._sync
         )
 
+    def _knock(self, seeds: tuple[peer.PeerAddress, ...]) -> None:
+        """Pings a few seeds each period until one has answered."""
+        if self._joined or not seeds:
+            return
+        count = min(_MEET_MAX, len(seeds))
+        for address in self._random.sample(seeds, count):
+            self._send_datagram(address, self._make_ping(""))
+        self._clock.call_later(self._timing.period, self._knock, seeds)
+
     def leave(self) -> None:
         """Tells every live node that this one takes no new work."""
         own = self._own()
--- a/trefoilpier/node/main.py
+++ b/trefoilpier/node/main.py
@@ -82,6 +82,10 @@
             ),
             timing=membership.MembershipTiming(),
             queries_max=settings.queries_max,
+            seeds=tuple(
+                peer.PeerAddress(host=host, port=port)
+                for host, port in settings.peer_seeds
+            ),
         )
         return node.Node(own=own, parts=parts)
 
--- a/trefoilpier/node/node.py
+++ b/trefoilpier/node/node.py
@@ -32,6 +32,7 @@
         store: The platform's service.
         timing: Periods of the membership protocol.
         queries_max: Requests in flight.
+        seeds: Peers to join by when the platform's list cannot be read.
     """
 
     clock: base.Clock
@@ -42,6 +43,7 @@
     store: platform.Store
     timing: membership.MembershipTiming
     queries_max: int
+    seeds: tuple[peer.PeerAddress, ...] = ()
 
 
 class Node:
@@ -61,6 +63,7 @@
         "_membership",
         "own",
         "_requests",
+        "_seeds",
         "_sub_queries",
         "board",
         "context",
@@ -76,6 +79,7 @@
         self.own = own
         self._clock = parts.clock
         self._log = parts.log
+        self._seeds = parts.seeds
         self._requests = query.PeerRequests(
             blackboard=blackboard,
             clock=parts.clock,
@@ -158,7 +162,7 @@
 
     def start(self) -> None:
         """Starts the controllers."""
-        self._membership.start(self.own)
+        self._membership.start(self.own, self._seeds)
         self._leaves.start()
         self._config.start()
         self._log.emit(base.Event.STARTED, node=self.own.id)
