--- a/trefoilpier/node/config_controller.py
+++ b/trefoilpier/node/config_controller.py
@@ -36,11 +36,13 @@
         "_clock",
         "_heard_by_peer",
         "_log",
+        "_may_watch",
         "_next_id",
         "_on_in_force",
         "_on_members",
         "_pulling",
         "_random",
+        "_ranked_generation",
         "_rejected_version",
         "_retry",
         "_revision",
@@ -82,6 +84,8 @@
         self._pulling = False
         self._stopped = False
         self._rejected_version = 0
+        self._ranked_generation = -1
+        self._may_watch = False
         self._heard_by_peer: dict[str, int] = {}
 
     def start(self) -> None:
@@ -131,9 +135,16 @@
         self._poll_members()
 
     def _is_watcher(self) -> bool:
+        """Tells whether this node is among the watchers of the store.
+
+        The nodes are ranked once for each change of them.
+        """
         nodes = self._board.nodes
-        ranked = base.rank_nodes(_WATCH_KEY, nodes.live_ids)
-        return nodes.self_id in ranked[:_WATCHERS]
+        if self._ranked_generation != nodes.generation:
+            self._ranked_generation = nodes.generation
+            ranked = base.rank_nodes(_WATCH_KEY, nodes.live_ids)
+            self._may_watch = nodes.self_id in ranked[:_WATCHERS]
+        return self._may_watch
 
     def _take_role(self) -> None:
         """Begins or ends watching as the live nodes change."""
--- /dev/null
+++ b/trefoilpier/routing/tests/test_placement.py
@@ -0,0 +1,42 @@
+"""Rendezvous placement while nodes come and go."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from standins import fleet
+from trefoilpier import base, board, config, routing
+
+_SET = config.build_config_set(
+    version=1, objects=fleet.simple_objects(shards=40, block_size=4)
+).ok
+_GROUP = _SET.shard_group_by_name["items"]
+
+
+def _set_live(nodes, names):
+    nodes.live_ids = tuple(sorted(names))
+    nodes.generation += 1
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.sets(st.integers(0, 30), min_size=1), max_size=12))
+def test_kept_ranking_equals_a_fresh_one(steps):
+    nodes = board.NodeSection(self_id="vm-0")
+    placement = routing.Placement(nodes=nodes)
+    for live in steps:
+        _set_live(nodes, [f"vm-{k}" for k in live])
+        for block in _GROUP.blocks:
+            ranked = base.rank_nodes(block.id, nodes.live_ids)
+            assert placement.gatherers(block, _GROUP) == tuple(
+                ranked[: _GROUP.gatherers]
+            )
+
+
+def test_one_node_less_moves_only_its_blocks():
+    nodes = board.NodeSection(self_id="vm-0")
+    placement = routing.Placement(nodes=nodes)
+    _set_live(nodes, [f"vm-{k}" for k in range(7)])
+    before = {b.id: placement.gatherers(b, _GROUP) for b in _GROUP.blocks}
+    _set_live(nodes, [f"vm-{k}" for k in range(6)])
+    for block in _GROUP.blocks:
+        if "vm-6" not in before[block.id]:
+            assert placement.gatherers(block, _GROUP) == before[block.id]
