A gatherer that can serve nothing is asked again; shards move in the proofs

Ruled out: the leaves (five VMs were answered) and the configuration (version 4 was in force on all). These two do not gather for the block; while the leaves moved they had asked its gatherer, heard that no version could be served, and kept that as knowledge.

Change: an empty offer is not kept, and what is known of a query's blocks is dropped when no version can be pinned. Held leaves are probed at once when their group's epoch changes. Results of the stand-in follow from the epoch, so that a mix of partitionings shows.

--- a/proofs/checks.py
+++ b/proofs/checks.py
@@ -11,12 +11,15 @@
 _LIMIT = 10
 
 
-def expected_result(text: str, shards: Iterable[int], version: int) -> Any:
+def expected_result(
+    text: str, shards: Iterable[int], epoch: int, version: int
+) -> Any:
     """Computes the merged result of some shards from scratch."""
     hits = []
     for shard in shards:
         call = {
             "shard": shard,
+            "epoch": epoch,
             "version": version,
             "repeatable": True,
             "query": {"text": text},
@@ -43,9 +46,10 @@
     if len(shards) != coverage["answered"]:
         yield f"{sent.text}: coverage does not add up: {coverage}"
     version = row["snapshot"]["index_version"]
+    epoch = row["snapshot"]["epoch"]
     if any(hit["version"] != version for hit in row["result"]):
         yield f"{sent.text}: mixed index versions"
-    if row["result"] != expected_result(sent.text, shards, version):
+    if row["result"] != expected_result(sent.text, shards, epoch, version):
         yield f"{sent.text}: not the result of the shards it claims"
     complete = row["code"] == "TPR-1000"
     if complete != (not missing):
--- a/proofs/main.py
+++ b/proofs/main.py
@@ -47,6 +47,7 @@
             "store loses writes": lambda: self._platform(lose_writes=5),
             "store reads stale": lambda: self._platform(stale_reads=True),
             "index version changes": self._change_index,
+            "shards move": self._repartition,
         }
 
     def run(self, seconds: float) -> None:
@@ -157,6 +158,13 @@
             self._stage.change_index(self._version, pause=0.1)
         return lambda: None
 
+    def _repartition(self) -> Callable[[], None]:
+        # A publish that fails, or a leaf process that is down, leaves a map
+        # that the leaves do not hold: shards are then missing as moved.
+        with contextlib.suppress(OSError, RuntimeError):
+            self._stage.repartition()
+        return lambda: None
+
 
 def main() -> None:
     """Runs the proof, prints its totals and exits 1 on a violation."""
--- a/proofs/scene.py
+++ b/proofs/scene.py
@@ -1,6 +1,7 @@
 """A small system of real processes with everything a proof needs."""
 
 import contextlib
+import dataclasses
 import os
 import signal
 import threading
@@ -8,6 +9,7 @@
 
 from proofs import balancer, checks, load
 from standins import fleet, rig
+from trefoilpier import config
 
 CONNECTION_LIMIT = 25
 SHARDS = 8
@@ -129,6 +131,28 @@
             rig.ask(each.control_port, "POST", "/v1/setup", row)
             time.sleep(pause)
 
+    def repartition(self) -> None:
+        """Moves every shard to the next team of leaves, as a new epoch.
+
+        The leaves move one process at a time; then the map is published.
+        """
+        objects = [_moved(raw) for raw in self.rig.objects]
+        built = config.build_config_set(version=0, objects=objects).ok
+        group = built.shard_group_by_name["items"]
+        for each in self.rig.leaves:
+            for leaf_id in each.leaf_ids:
+                shards = [
+                    shard
+                    for shard, ids in enumerate(group.leaf_ids_by_shard)
+                    if leaf_id in ids
+                ]
+                row = {"epoch": group.epoch, "shards": shards}
+                path = f"/v1/setup?leaf={leaf_id}"
+                rig.ask(each.control_port, "POST", path, row)
+        self.rig.objects = objects
+        self.rig.set = built
+        self.rig.publish_directly()
+
     def totals(self) -> dict[str, int]:
         """Counts what callers were told."""
         rows = self.load.rows
@@ -148,3 +172,16 @@
             ),
             "lost": sum(1 for sent in rows if sent.status == 0),
         }
+
+
+def _moved(raw: config.RawObject) -> config.RawObject:
+    """Returns a shard group whose shards moved on by one team."""
+    if raw.kind != "shard_group":
+        return raw
+    keys = dict(raw.text_by_key)
+    for shard in range(SHARDS):
+        keys[f"shard.{shard}"] = raw.text_by_key[
+            f"shard.{(shard + 2) % SHARDS}"
+        ]
+    keys["epoch"] = str(int(keys["epoch"]) + 1)
+    return dataclasses.replace(raw, text_by_key=keys)
--- a/proofs/tests/test_promises.py
+++ b/proofs/tests/test_promises.py
@@ -40,6 +40,27 @@
     assert len(seen) > 1
 
 
+def test_snapshot_stays_one_while_shards_move(stage):
+    for _ in range(3):
+        stage.repartition()
+        _settle(1.0)
+    _settle(1.0)
+    recent = time.monotonic() - 0.7
+    assert stage.finish() == []
+    epochs = {
+        sent.row["snapshot"]["epoch"]
+        for sent in stage.load.rows
+        if sent.status == 200 and sent.service == "search"
+    }
+    assert 4 in epochs
+    late = [
+        sent.row.get("code")
+        for sent in stage.load.rows
+        if sent.service == "search" and sent.sent_at > recent
+    ]
+    assert set(late) == {"TPR-1000"}
+
+
 def test_coverage_is_true_when_leaves_fail(stage):
     faults = [
         {"slow_factor": 40.0},
--- a/standins/leaf_model.py
+++ b/standins/leaf_model.py
@@ -287,7 +287,7 @@
 
 
 def make_result(call: dict[str, Any]) -> Any:
-    """Makes the result of a call; it names its shard and version.
+    """Makes the result of a call; it follows from epoch, shard and text.
 
     A query ``{"count": true}`` gives a number, a call that may not be
     repeated gives a receipt, and anything else a list of hits.
@@ -297,7 +297,7 @@
         return {"receipt": call["id"], "version": call["version"]}
     if isinstance(query, dict) and query.get("count"):
         return call["shard"] + 1
-    text = f"{call['shard']}|{query.get('text', '')}"
+    text = f"{call['shard']}|{call['epoch']}|{query.get('text', '')}"
     seed = hashlib.blake2b(text.encode(), digest_size=16).digest()
     return [
         {
--- a/trefoilpier/node/leaf_controller.py
+++ b/trefoilpier/node/leaf_controller.py
@@ -125,6 +125,9 @@
         state = states.get(held.id)
         now = self._clock.monotonic()
         if state is not None and state.leaf == held:
+            if state.group.epoch != group.epoch:
+                # What the leaf last said is of the old partitioning.
+                self._transport.probe(held.id)
             state.group = group
             self._context.lane_by_leaf[held.id].limit.set_slots(
                 group.slot_share
--- a/trefoilpier/query/entry.py
+++ b/trefoilpier/query/entry.py
@@ -315,6 +315,8 @@
         held = [b for b in blocks if self._placement.holds(b, run.group)]
         version = self._snapshots.pin(run.group, held, blocks)
         if version is None:
+            for block in blocks:
+                self._snapshots.forget(block.id)
             self._end_unrun(run, base.ResultCode.NO_LEAF)
             return
         run.snapshot = routing.Snapshot(
--- a/trefoilpier/query/tests/test_gatherers.py
+++ b/trefoilpier/query/tests/test_gatherers.py
@@ -124,3 +124,21 @@
     made.clock.advance(5.0)
     assert node.board.queries.in_flight == 0
     assert node.idle()
+
+
+def test_gatherer_that_could_serve_nothing_is_asked_again():
+    # The word "nothing can be served", heard while leaves moved to another
+    # partitioning, was remembered for good, and every query was refused.
+    made = _fleet(shards=4)
+    holder = _holders(made)["leaf-0-0"][0]
+    asker = next(name for name in made.node_by_id if name != holder)
+    for host in made.host_by_leaf.values():
+        host.model.setup.epoch = 2
+    made.clock.advance(3.0)
+    refused = made.ask(asker, "search")
+    assert refused.code == base.ResultCode.NO_LEAF
+    assert refused.ran == base.Ran.NO
+    for host in made.host_by_leaf.values():
+        host.model.setup.epoch = 1
+    made.clock.advance(3.0)
+    assert made.ask(asker, "search").coverage.answered == 4
--- a/trefoilpier/routing/snapshot.py
+++ b/trefoilpier/routing/snapshot.py
@@ -53,8 +53,15 @@
     def learn(
         self, block_id: str, versions_by_shard: Mapping[int, tuple[int, ...]]
     ) -> None:
-        """Remembers what another gatherer offered for a block."""
-        self._offered_by_block[block_id] = dict(versions_by_shard)
+        """Remembers what another gatherer offered for a block.
+
+        A gatherer that can serve nothing now may serve it in a moment, so
+        that is not remembered, and the next query asks again.
+        """
+        if any(versions_by_shard.values()):
+            self._offered_by_block[block_id] = dict(versions_by_shard)
+        else:
+            self._offered_by_block.pop(block_id, None)
 
     def forget(self, block_id: str) -> None:
         """Drops what was offered for a block."""
