Control traffic keeps to a budget of bytes that the code enforces

It was bounded by construction only, and a VM that pulls a whole set in an outage could make one peer send megabytes at once.

A reply carries at most 32 kB of objects, and a large pull is spread over the peers that have the version.

--- a/standins/memory.py
+++ b/standins/memory.py
@@ -356,22 +356,24 @@
         envelope: peer.Envelope,
         *,
         reliable: bool,
-    ) -> None:
-        """Carries one message, encoded, or loses it."""
+    ) -> int:
+        """Carries one message, encoded, or loses it; returns its bytes."""
         data = peer.encode(envelope)
         overhead = _DATAGRAM_OVERHEAD_BYTES
         if reliable:
             overhead = _FRAME_OVERHEAD_BYTES
-        self.bytes_by_node[sender.node_id] += len(data) + overhead
+        size = len(data) + overhead
+        self.bytes_by_node[sender.node_id] += size
         self.messages_by_node[sender.node_id] += 1
         target = self._endpoint_by_address.get((address.host, address.port))
         if target is None or self.is_cut(sender.node_id, target.node_id):
-            return
+            return size
         if not reliable and self._random.random() < self.loss:
-            return
+            return size
         delay = _LOCAL_DELAY_S if sender.zone == target.zone else _ZONE_DELAY_S
         origin = None if reliable else sender.address
         self._clock.call_later(delay, target.receive, data, origin)
+        return size
 
 
 class MemoryPeer(peer.PeerNetwork):
@@ -416,17 +418,19 @@
 
     def send(
         self, node_id: str, address: peer.PeerAddress, envelope: peer.Envelope
-    ) -> None:
-        """Sends over a link."""
-        if self.alive:
-            self._network.carry(self, address, envelope, reliable=True)
+    ) -> int:
+        """Sends over a link; returns the bytes."""
+        if not self.alive:
+            return 0
+        return self._network.carry(self, address, envelope, reliable=True)
 
     def send_datagram(
         self, address: peer.PeerAddress, envelope: peer.Envelope
-    ) -> None:
-        """Sends a datagram."""
-        if self.alive:
-            self._network.carry(self, address, envelope, reliable=False)
+    ) -> int:
+        """Sends a datagram; returns its bytes."""
+        if not self.alive:
+            return 0
+        return self._network.carry(self, address, envelope, reliable=False)
 
     def receive(self, data: bytes, origin: peer.PeerAddress | None) -> None:
         """Takes in a message."""
--- a/trefoilpier/node/config_controller.py
+++ b/trefoilpier/node/config_controller.py
@@ -22,6 +22,8 @@
 _MEMBERS_PERIOD_S = 1.0
 _PULL_TIMEOUT_S = 1.0
 _PULL_RETRY_S = 0.2
+_PULL_HASHES_MAX = 500
+_REPLY_BYTES_MAX = 32_000
 _NOTICE_FANOUT = 4
 _ROLE_PERIOD_S = 0.5
 _WATCH_KEY = "config-watchers"
@@ -114,10 +116,17 @@
         return peer.ManifestReply(id=message.id, manifest=data)
 
     def objects_for_peer(self, message: peer.ObjectsPull) -> peer.Message:
-        """Answers a peer that asks for objects."""
+        """Answers a peer that asks for objects, up to a bounded size."""
         known = self._board.config.data_by_hash
-        found = tuple(known[h] for h in message.hashes if h in known)
-        return peer.ObjectsReply(id=message.id, objects=found)
+        found: list[bytes] = []
+        size = 0
+        for address in message.hashes:
+            data = known.get(address, b"")
+            if not data or (found and size + len(data) > _REPLY_BYTES_MAX):
+                continue
+            found.append(data)
+            size += len(data)
+        return peer.ObjectsReply(id=message.id, objects=tuple(found))
 
     def _spawn(self, work: Any) -> None:
         defer.ensureDeferred(work).addErrback(self._crashed)
@@ -305,24 +314,28 @@
             for address in manifest.object_hashes
             if address in section.data_by_hash
         }
-        missing = tuple(
-            h for h in manifest.object_hashes if h not in data_by_hash
-        )
-        if missing:
+        wanted = set(manifest.object_hashes)
+        while wanted - data_by_hash.keys():
+            missing = tuple(sorted(wanted - data_by_hash.keys()))
             answer = await self._ask_peer(
-                node_id, peer.ObjectsPull, hashes=missing
+                self._another_peer(node_id, manifest.version),
+                peer.ObjectsPull,
+                hashes=missing[:_PULL_HASHES_MAX],
             )
-            if not isinstance(answer, peer.ObjectsReply):
+            if not isinstance(answer, peer.ObjectsReply) or not answer.objects:
                 return _peer_failed("no objects")
             for data in answer.objects:
                 data_by_hash[base.content_hash(data)] = data
-        if any(h not in data_by_hash for h in manifest.object_hashes):
-            return _peer_failed("objects are missing")
         whole = {h: data_by_hash[h] for h in manifest.object_hashes}
         bundle = config.Bundle(data_by_hash=whole)
         self._put_in_force(manifest, bundle, node_id)
         return expression.Ok(None)
 
+    def _another_peer(self, node_id: str, version: int) -> str:
+        """Returns any peer that has a version, to spread a large pull."""
+        able = [p for p, v in self._heard_by_peer.items() if v >= version]
+        return self._random.choice(able) if able else node_id
+
     def _ask_peer(
         self, node_id: str, kind: type, **fields: Any
     ) -> "defer.Deferred[peer.Message | None]":
--- a/trefoilpier/peer/__init__.py
+++ b/trefoilpier/peer/__init__.py
@@ -2,6 +2,7 @@
 
 from trefoilpier.peer.auth import FrameMac, hello_mac, sign_datagram
 from trefoilpier.peer.codec import decode, encode
+from trefoilpier.peer.control import ControlBudget, is_control
 from trefoilpier.peer.messages import (
     Ack,
     Cancel,
@@ -28,6 +29,7 @@
 __all__ = [
     "Ack",
     "Cancel",
+    "ControlBudget",
     "Envelope",
     "FrameMac",
     "Hello",
@@ -51,5 +53,6 @@
     "decode",
     "encode",
     "hello_mac",
+    "is_control",
     "sign_datagram",
 ]
--- a/trefoilpier/peer/network.py
+++ b/trefoilpier/peer/network.py
@@ -40,11 +40,11 @@
     @abc.abstractmethod
     def send(
         self, node_id: str, address: PeerAddress, envelope: messages.Envelope
-    ) -> None:
-        """Sends over a link, which is opened if there is none."""
+    ) -> int:
+        """Sends over a link, opened if there is none; returns the bytes."""
 
     @abc.abstractmethod
     def send_datagram(
         self, address: PeerAddress, envelope: messages.Envelope
-    ) -> None:
-        """Sends one datagram."""
+    ) -> int:
+        """Sends one datagram; returns its bytes."""
--- a/trefoilpier/peer/tcp.py
+++ b/trefoilpier/peer/tcp.py
@@ -1,5 +1,6 @@
 """Peers over TCP and UDP, by Twisted."""
 
+import contextlib
 import os
 from collections.abc import Callable
 from typing import Any
@@ -14,6 +15,7 @@
 _NONCE_BYTES = 16
 _HELLO_TIMEOUT_S = 2.0
 _QUEUE_MAX = 4096
+_FRAME_OVERHEAD_BYTES = 4 + auth.MAC_BYTES
 _CONNECT_TIMEOUT_S = 1.0
 
 
@@ -32,7 +34,7 @@
         self._nonce = os.urandom(_NONCE_BYTES)
         self._out: auth.FrameMac | None = None
         self._in: auth.FrameMac | None = None
-        self._waiting: list[messages.Envelope] = []
+        self._waiting: list[bytes] = []
         self._hello_timer: base.Timer | None = None
         self.peer_id = ""
 
@@ -54,13 +56,12 @@
         if not self.peer_id:
             self._reject("no hello in time")
 
-    def send(self, envelope: messages.Envelope) -> None:
+    def send(self, data: bytes) -> None:
         """Sends a message, after the hello of the other end."""
         if self._out is None:
             if len(self._waiting) < _QUEUE_MAX:
-                self._waiting.append(envelope)
+                self._waiting.append(data)
             return
-        data = codec.encode(envelope)
         self.sendString(self._out.sign(data) + data)
 
     def stringReceived(self, frame: bytes) -> None:  # noqa: N802
@@ -164,7 +165,6 @@
         key: The shared key.
         clock: The clock.
         log: Where events go.
-        bytes_sent: Bytes sent by datagram and link, for the metrics.
     """
 
     __slots__ = (
@@ -176,7 +176,6 @@
         "_own_id",
         "_reactor",
         "_udp",
-        "bytes_sent",
         "clock",
         "key",
         "log",
@@ -195,7 +194,6 @@
         self.clock = clock
         self.log = log
         self.key = key
-        self.bytes_sent = 0
         self._own_id = own_id
         self._link_by_peer: dict[str, PeerLink] = {}
         self._opened_by_peer: dict[str, PeerLink | None] = {}
@@ -240,26 +238,26 @@
         node_id: str,
         address: network.PeerAddress,
         envelope: messages.Envelope,
-    ) -> None:
-        """Sends over a link, which is opened if there is none."""
+    ) -> int:
+        """Sends over a link, opened if there is none; returns the bytes."""
         link = self._link_by_peer.get(node_id)
         if link is None:
             link = self._open(node_id, address)
-        link.send(envelope)
+        data = codec.encode(envelope)
+        link.send(data)
+        return len(data) + _FRAME_OVERHEAD_BYTES
 
     def send_datagram(
         self, address: network.PeerAddress, envelope: messages.Envelope
-    ) -> None:
+    ) -> int:
         """Sends one datagram; a failure to send counts as a loss."""
         if self._udp is None:
-            return
+            return 0
         data = codec.encode(envelope)
         packet = auth.sign_datagram(self.key, data) + data
-        self.bytes_sent += len(packet)
-        try:
+        with contextlib.suppress(OSError, error.MessageLengthError):
             self._udp.write(packet, (address.host, address.port))
-        except (OSError, error.MessageLengthError):
-            return
+        return len(packet)
 
     def datagram_received(self, packet: bytes, addr: tuple) -> None:
         """Checks one datagram and hands its message over."""
--- a/trefoilpier/peer/tests/test_fuzz.py
+++ b/trefoilpier/peer/tests/test_fuzz.py
@@ -1,5 +1,6 @@
 """Hostile and damaged bytes on the peer port change nothing."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from twisted.internet import testing
@@ -47,9 +48,10 @@
 
     def carry(self, message):
         first, second = self.ends
-        first.send(
-            peer.Envelope(sender="vm-1", config_version=1, message=message)
+        envelope = peer.Envelope(
+            sender="vm-1", config_version=1, message=message
         )
+        first.send(codec.encode(envelope))
         data = first.transport.value()
         first.transport.clear()
         return data, second
@@ -141,14 +143,16 @@
         return
 
 
-def test_newer_minor_version_is_tolerated_and_a_major_one_is_not():
-    row = codec._ENVELOPE.new_message(major=1, minor=9, sender="vm-1")
+def _raw_cancel(major, minor):
+    row = codec._ENVELOPE.new_message(major=major, minor=minor, sender="vm-1")
     row.init("cancel").id = "q"
-    assert codec.decode(row.to_bytes()).message == peer.Cancel(id="q")
-    row.major = 2
-    try:
-        codec.decode(row.to_bytes())
-    except ValueError as bad:
-        assert "version 2" in str(bad)
-    else:
-        raise AssertionError("a major version was accepted")
+    return row.to_bytes()
+
+
+def test_newer_minor_version_is_tolerated():
+    assert codec.decode(_raw_cancel(1, 9)).message == peer.Cancel(id="q")
+
+
+def test_newer_major_version_is_refused():
+    with pytest.raises(ValueError, match="version 2"):
+        codec.decode(_raw_cancel(2, 0))
--- a/trefoilpier/query/peers.py
+++ b/trefoilpier/query/peers.py
@@ -15,6 +15,7 @@
     __slots__ = (
         "_board",
         "_clock",
+        "_control",
         "_count",
         "_incarnation",
         "_network",
@@ -32,6 +33,7 @@
         self._board = blackboard
         self._clock = clock
         self._network = network
+        self._control = peer.ControlBudget(clock=clock)
         self._incarnation = incarnation
         self._count = 0
         self._waiting_by_id: dict[
@@ -50,14 +52,32 @@
         if record is None:
             return False
         address = peer.PeerAddress(host=record.host, port=record.peer_port)
-        self._network.send(node_id, address, self._envelope(message))
+
+        def send() -> int:
+            envelope = self._envelope(message)
+            return self._network.send(node_id, address, envelope)
+
+        if peer.is_control(message):
+            self._control.submit(message, send)
+        else:
+            send()
         return True
 
     def send_datagram(
         self, address: peer.PeerAddress, message: peer.Message
     ) -> None:
-        """Sends a datagram."""
-        self._network.send_datagram(address, self._envelope(message))
+        """Sends a datagram; they are all control traffic."""
+        self._control.submit(
+            message,
+            lambda: self._network.send_datagram(
+                address, self._envelope(message)
+            ),
+        )
+
+    @property
+    def control_bytes(self) -> int:
+        """Bytes of control traffic sent since the start."""
+        return self._control.sent_bytes
 
     def ask(
         self,
