--- a/standins/leaf.py
+++ b/standins/leaf.py
@@ -66,6 +66,8 @@
             call.answer({})
         elif call.path == "/v1/call":
             self._call(call)
+        elif call.path == "/v1/calls":
+            self._calls(call)
         else:
             call.answer({}, 404)
 
@@ -75,6 +77,22 @@
         row = orjson.loads(call.body)
         self.model.call(row, lambda answer: self._answered(call, answer))
 
+    def _calls(self, call: httpd.HttpCall) -> None:
+        """Runs several calls of one request; answers once all have ended.
+
+        Only the bench uses it, to measure what carrying calls together gives.
+        """
+        rows = orjson.loads(call.body)
+        answers: list[dict[str, Any]] = []
+
+        def collect(answer: dict[str, Any]) -> None:
+            answers.append(answer)
+            if len(answers) == len(rows):
+                call.answer(answers)
+
+        for row in rows:
+            self.model.call(row, collect)
+
     def _answered(self, call: httpd.HttpCall, answer: dict[str, Any]) -> None:
         if self._random.random() < self.model.faults.lose_answers:
             call.drop()
