A sub-query is answered over its own link; ports of rigs never collide

Cause: a search right after the start sometimes lacked one gatherer's shards as late, 321 ms, in about one start of four on a busy machine. The gatherer did not know the sender's record yet, and replies were sent only to nodes with a record, so the partial was dropped.

Change: a node without a record is answered over the link that it opened; a second gatherer is asked after 100 ms when nothing is known of the first one's answer times. Rigs take blocks of ports behind a guard socket, since four of them side by side chose the same ports.

Before: test_gatherer_answers_a_sender_that_it_does_not_know_yet fails, after: it passes, with the rest (trefoilpier, bench and standins). The virtual store now lets a write take effect on its way instead of when it is sent.

--- a/standins/memory.py
+++ b/standins/memory.py
@@ -339,6 +339,11 @@
         self._endpoint_by_id[node_id] = made
         return made
 
+    def address_of(self, node_id: str) -> peer.PeerAddress | None:
+        """Returns the address of a node that runs, or None."""
+        endpoint = self._endpoint_by_id.get(node_id)
+        return endpoint.address if endpoint is not None else None
+
     def remove(self, node_id: str) -> None:
         """Removes a node, as when its process is killed."""
         gone = self._endpoint_by_id.pop(node_id)
@@ -416,11 +421,20 @@
         self._on_message = on_message
         self._on_link_lost = on_link_lost
 
+    def has_link(self, node_id: str) -> bool:
+        """Tells whether a node runs; links come and go at no cost here."""
+        return self._network.address_of(node_id) is not None
+
     def send(
-        self, node_id: str, address: peer.PeerAddress, envelope: peer.Envelope
+        self,
+        node_id: str,
+        address: peer.PeerAddress | None,
+        envelope: peer.Envelope,
     ) -> int:
         """Sends over a link; returns the bytes."""
-        if not self.alive:
+        if address is None:
+            address = self._network.address_of(node_id)
+        if not self.alive or address is None:
             return 0
         return self._network.carry(self, address, envelope, reliable=True)
 
@@ -480,7 +494,10 @@
     def put(
         self, key: str, value: bytes, *, expect: int, lease: str = ""
     ) -> defer.Deferred:
-        """Writes a key, or loses the write or its answer."""
+        """Writes a key, or loses the write or its answer.
+
+        The write takes effect on its way, not when it is sent.
+        """
         down = self._down()
         if down is not None:
             return down
@@ -488,13 +505,25 @@
         if faults.lose_writes:
             faults.lose_writes -= 1
             return self._lost()
-        stored = self._model.put(key, value.decode(), expect, lease)
-        if faults.lose_answers:
+        lost = faults.lose_answers > 0
+        if lost:
             faults.lose_answers -= 1
-            return self._lost()
-        if stored is None:
-            return self._later(_error(base.ResultCode.STORE_CONFLICT))
-        return self._later(expression.Ok(_entry(key, stored)))
+        waiting: defer.Deferred = defer.Deferred()
+
+        def write() -> None:
+            stored = self._model.put(key, value.decode(), expect, lease)
+            result = _error(base.ResultCode.STORE_CONFLICT)
+            delay = _STORE_DELAY_S / 2
+            if lost:
+                result = _error(base.ResultCode.STORE_ANSWER_LOST)
+                delay = _STORE_TIMEOUT_S
+            elif stored is not None:
+                result = expression.Ok(_entry(key, stored))
+            self._clock.call_later(delay, waiting.callback, result)
+
+        arrival = _STORE_DELAY_S / 2 + faults.slow_s
+        self._clock.call_later(arrival, write)
+        return waiting
 
     def watch(self, key: str, *, after: int, wait: float) -> defer.Deferred:
         """Waits for a newer revision."""
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -65,21 +65,44 @@
 
 _PORTS_FROM = 15_000
 _PORTS_TO = 32_000
-_handed_out: set[int] = set()
+_PORTS_A_BLOCK = 400
+_GUARD_HOST = "127.0.0.3"
+_guards: list[socket.socket] = []
+_free: list[int] = []
 
 
 def free_ports(count: int) -> list[int]:
-    """Finds free ports below the range of outgoing connections."""
+    """Finds free ports below the range of outgoing connections.
+
+    They come from blocks that this process holds by a guard socket, so that
+    rigs that run side by side never choose the same port.
+    """
     found: list[int] = []
     while len(found) < count:
-        port = random.randrange(_PORTS_FROM, _PORTS_TO)
-        if port in _handed_out or not _can_listen(port):
-            continue
-        _handed_out.add(port)
-        found.append(port)
+        if not _free:
+            _free.extend(_take_block())
+        port = _free.pop()
+        if _can_listen(port):
+            found.append(port)
     return found
 
 
+def _take_block() -> list[int]:
+    """Holds a block of ports for the life of this process."""
+    starts = list(range(_PORTS_FROM, _PORTS_TO, _PORTS_A_BLOCK))
+    random.shuffle(starts)
+    for start in starts:
+        guard = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            guard.bind((_GUARD_HOST, start))
+        except OSError:
+            guard.close()
+            continue
+        _guards.append(guard)
+        return list(range(start + _PORTS_A_BLOCK - 1, start - 1, -1))
+    raise OSError("no block of ports is free")
+
+
 def _can_listen(port: int) -> bool:
     """Tells whether a port is free for TCP and UDP."""
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
--- a/trefoilpier/peer/network.py
+++ b/trefoilpier/peer/network.py
@@ -37,11 +37,22 @@
         The address is that of a datagram's sender, None for a link.
         """
 
+    @abc.abstractmethod
+    def has_link(self, node_id: str) -> bool:
+        """Tells whether a link to or from a node is open."""
+
     @abc.abstractmethod
     def send(
-        self, node_id: str, address: PeerAddress, envelope: messages.Envelope
+        self,
+        node_id: str,
+        address: PeerAddress | None,
+        envelope: messages.Envelope,
     ) -> int:
-        """Sends over a link, opened if there is none; returns the bytes."""
+        """Sends over a link; returns the bytes.
+
+        Without a link one is opened to the address; without an address the
+        message is dropped.
+        """
 
     @abc.abstractmethod
     def send_datagram(
--- a/trefoilpier/peer/tcp.py
+++ b/trefoilpier/peer/tcp.py
@@ -233,14 +233,20 @@
         for link in list(self._link_by_peer.values()):
             link.transport.loseConnection()
 
+    def has_link(self, node_id: str) -> bool:
+        """Tells whether a link to or from a node is open."""
+        return node_id in self._link_by_peer
+
     def send(
         self,
         node_id: str,
-        address: network.PeerAddress,
+        address: network.PeerAddress | None,
         envelope: messages.Envelope,
     ) -> int:
         """Sends over a link, opened if there is none; returns the bytes."""
         link = self._link_by_peer.get(node_id)
+        if link is None and address is None:
+            return 0
         if link is None:
             link = self._open(node_id, address)
         data = codec.encode(envelope)
--- a/trefoilpier/query/peers.py
+++ b/trefoilpier/query/peers.py
@@ -47,11 +47,17 @@
         return f"{node_id}-{self._incarnation:x}-{self._count:x}"
 
     def send(self, node_id: str, message: peer.Message) -> bool:
-        """Sends a message; returns False if the node is not known."""
+        """Sends a message; returns False if the node cannot be reached.
+
+        A node that is not known yet is answered over the link that it has
+        opened itself.
+        """
         record = self._board.nodes.node_by_id.get(node_id)
-        if record is None:
+        address = None
+        if record is not None:
+            address = peer.PeerAddress(host=record.host, port=record.peer_port)
+        elif not self._network.has_link(node_id):
             return False
-        address = peer.PeerAddress(host=record.host, port=record.peer_port)
 
         def send() -> int:
             envelope = self._envelope(message)
--- a/trefoilpier/query/remote.py
+++ b/trefoilpier/query/remote.py
@@ -11,6 +11,7 @@
 _REPLY_GRACE_S = 0.05
 _HEDGE_FACTOR = 2.0
 _HEDGE_MIN_S = 0.020
+_HEDGE_UNKNOWN_S = 0.1
 _ATTEMPTS_MAX = 3
 _REFUSALS = frozenset(
     {
@@ -143,9 +144,9 @@
         if not self._spec.service.repeatable:
             return
         tracker = self._latency_by_node.get(node_id)
-        if tracker is None:
-            return
-        delay = max(_HEDGE_MIN_S, _HEDGE_FACTOR * tracker.quantile)
+        delay = _HEDGE_UNKNOWN_S
+        if tracker is not None:
+            delay = max(_HEDGE_MIN_S, _HEDGE_FACTOR * tracker.quantile)
         self._hedge_timer = self._clock.call_later(delay, self._hedge)
 
     def _hedge(self) -> None:
--- a/trefoilpier/query/tests/test_gatherers.py
+++ b/trefoilpier/query/tests/test_gatherers.py
@@ -142,3 +142,15 @@
         host.model.setup.epoch = 1
     made.clock.advance(3.0)
     assert made.ask(asker, "search").coverage.answered == 4
+
+
+def test_gatherer_answers_a_sender_that_it_does_not_know_yet():
+    # While a fleet starts, a node can be asked by one whose record has not
+    # reached it; the answer was dropped, and the shards were late.
+    made = _fleet(shards=4)
+    holder = _holders(made)["leaf-0-0"][0]
+    asker = next(name for name in made.node_by_id if name != holder)
+    del made.node_by_id[holder].board.nodes.node_by_id[asker]
+    made.network.loss = 1.0
+    final = made.ask(asker, "search")
+    assert final.coverage.answered == 4
