Hedge after the 98th percentile; an old sample gives way to a new one

(1) A latency that had faded moved only a tenth towards a new slow sample, so the slow leaf looked good again at once; (2) with 1 % of calls straggling, a leaf's 99th percentile is itself a straggler's (45 ms at a mean of 10 ms), so hedges came late. Ruled out: the concurrency limit (2 of 2 at the loaded leaf; tolerance 2, 4 and 10 give the same figures).

Change: the older the sample before, the more a new one counts, with the fade's own half-life of now 20 s; the percentile is the 98th.

Beside it: bench capacity, tables of the design size in one process.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,103 @@
+"""State and processor time of control at the size to design for.
+
+The real code is run with tables of the design size in one process; nothing is
+simulated.
+"""
+
+import time
+import tracemalloc
+from collections.abc import Iterator
+
+from bench import figures
+from standins import fleet
+from trefoilpier import board, config, routing
+
+_NODES = 5900
+_LEAVES = 27_000
+_LEAVES_A_BLOCK = 100
+
+
+def _figure(name: str, value: float, unit: str) -> figures.Figure:
+    return figures.Figure(
+        name=f"capacity {name}", value=value, unit=unit, kind="process"
+    )
+
+
+def _objects(leaves: int) -> list[config.RawObject]:
+    return fleet.simple_objects(
+        shards=leaves,
+        replicas=2,
+        zones=8,
+        vms=_NODES,
+        block_size=_LEAVES_A_BLOCK,
+    )
+
+
+def configuration() -> Iterator[figures.Figure]:
+    """Builds whole sets; memory and processor time follow the leaves."""
+    for leaves in (1000, 9000, _LEAVES):
+        objects = _objects(leaves)
+        tracemalloc.start()
+        begin = time.process_time()
+        built = config.build_config_set(version=1, objects=objects).ok
+        spent = time.process_time() - begin
+        size, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        blocks = len(built.shard_group_by_name["items"].blocks)
+        yield _figure(f"set of {leaves} leaves/memory", size / 1e6, "MB")
+        yield _figure(f"set of {leaves} leaves/blocks", blocks, "count")
+        begin = time.process_time()
+        config.build_config_set(version=1, objects=objects)
+        spent = time.process_time() - begin
+        yield _figure(f"set of {leaves} leaves/build", spent * 1e3, "ms")
+        stored = config.Bundle.from_objects(objects)
+        largest = max(len(data) for data in stored.data_by_hash.values())
+        total = sum(len(data) for data in stored.data_by_hash.values())
+        yield _figure(f"set of {leaves} leaves/largest object", largest, "B")
+        yield _figure(f"set of {leaves} leaves/all objects", total, "B")
+
+
+def _record(index: int) -> board.NodeRecord:
+    return board.NodeRecord(
+        id=f"vm-{index}",
+        host=f"10.{index >> 16}.{index >> 8 & 255}.{index & 255}",
+        peer_port=7001,
+        caller_port=8080,
+        region=f"region-{index % 4}",
+        zone=f"zone-{index % 8}",
+        incarnation=1_796_330_570_177 + index,
+    )
+
+
+def nodes() -> Iterator[figures.Figure]:
+    """The membership table, and what one change of it costs."""
+    tracemalloc.start()
+    section = board.NodeSection(self_id="vm-0")
+    for index in range(_NODES):
+        section.node_by_id[f"vm-{index}"] = _record(index)
+    section.refresh()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    yield _figure("node table/memory", size / 1e6, "MB")
+    built = config.build_config_set(version=1, objects=_objects(_LEAVES)).ok
+    group = built.shard_group_by_name["items"]
+    placement = routing.Placement(nodes=section)
+    begin = time.process_time()
+    for block in group.blocks:
+        placement.gatherers(block, group)
+    spent = time.process_time() - begin
+    yield _figure("placement/first ranking", spent * 1e3, "ms")
+    begin = time.process_time()
+    changes = 20
+    for index in range(changes):
+        del section.node_by_id[f"vm-{index + 1}"]
+        section.refresh()
+        for block in group.blocks:
+            placement.holds(block, group)
+    spent = (time.process_time() - begin) / changes
+    yield _figure("placement/one change of a node", spent * 1e3, "ms")
+
+
+def jobs() -> list[tuple]:
+    """Returns the experiments, measured with nothing beside them."""
+    return [(configuration,), (nodes,)]
--- a/bench/main.py
+++ b/bench/main.py
@@ -6,9 +6,10 @@
 import sys
 from collections.abc import Callable, Iterator
 
-from bench import control, cost, decisions, figures, http_clients
+from bench import capacity, control, cost, decisions, figures, http_clients
 
 _JOBS_BY_NAME: dict[str, Callable[[], list[tuple]]] = {
+    "capacity": capacity.jobs,
     "control": control.jobs,
     "cost": cost.process_jobs,
     "http-clients": http_clients.jobs,
@@ -18,7 +19,7 @@
 }
 _PROCESSES = 6
 # Processor time is measured with nothing beside it.
-_ALONE = frozenset({"cost", "http-clients"})
+_ALONE = frozenset({"capacity", "cost", "http-clients"})
 
 
 def _run_job(job: tuple) -> list[figures.Figure]:
--- a/trefoilpier/board/__init__.py
+++ b/trefoilpier/board/__init__.py
@@ -8,10 +8,16 @@
     NodeSection,
     QuerySection,
 )
-from trefoilpier.board.leaves import LatencyTracker, LeafPhase, LeafState
+from trefoilpier.board.leaves import (
+    MEAN_HALF_LIFE_S,
+    LatencyTracker,
+    LeafPhase,
+    LeafState,
+)
 from trefoilpier.board.nodes import NodeRecord, NodeState
 
 __all__ = [
+    "MEAN_HALF_LIFE_S",
     "Board",
     "ConfigSection",
     "DrainSection",
--- a/trefoilpier/board/leaves.py
+++ b/trefoilpier/board/leaves.py
@@ -5,8 +5,9 @@
 from trefoilpier import config
 
 _FIRST_LATENCY_S = 0.020
+MEAN_HALF_LIFE_S = 20.0
 _MEAN_WEIGHT = 0.1
-_QUANTILE = 0.99
+_QUANTILE = 0.98
 _QUANTILE_STEP = 0.1
 _LATENCY_FLOOR_S = 0.0005
 
@@ -21,10 +22,10 @@
 
 
 class LatencyTracker:
-    """Running mean and 99th percentile of latency, in constant space.
+    """Running mean and 98th percentile of latency, in constant space.
 
     The percentile moves by a small factor up or down with each sample, so
-    that it settles where 1 % of the samples lie above it.
+    that it settles where 2 % of the samples lie above it.
 
     >>> tracker = LatencyTracker()
     >>> for _ in range(200):
@@ -40,24 +41,31 @@
         self.quantile = 2 * _FIRST_LATENCY_S
         self.samples = 0
 
-    def add_unfinished(self, seconds: float) -> None:
+    def add_unfinished(self, seconds: float, *, age: float = 0.0) -> None:
         """Takes in a call that was withdrawn after ``seconds``.
 
         Its latency is not known, only that it is longer; a shorter time than
         the mean therefore tells nothing.
         """
         if seconds > self.mean:
-            self.add(seconds)
+            self.add(seconds, age=age)
 
-    def add(self, seconds: float) -> None:
-        """Takes in one latency, in seconds."""
+    def add(self, seconds: float, *, age: float = 0.0) -> None:
+        """Takes in one latency.
+
+        Args:
+            seconds: The latency.
+            age: Seconds since the sample before; the older that one is, the
+                more the new one counts.
+        """
         value = max(seconds, _LATENCY_FLOOR_S)
         self.samples += 1
         if self.samples == 1:
             self.mean = value
             self.quantile = 2 * value
             return
-        self.mean += _MEAN_WEIGHT * (value - self.mean)
+        weight = max(_MEAN_WEIGHT, 1.0 - 0.5 ** (age / MEAN_HALF_LIFE_S))
+        self.mean += weight * (value - self.mean)
         if value > self.quantile:
             self.quantile *= 1 + _QUANTILE_STEP * _QUANTILE
         else:
--- a/trefoilpier/cli/vm_commands.py
+++ b/trefoilpier/cli/vm_commands.py
@@ -241,7 +241,7 @@
             gatherers = ", ".join(block["gatherers"])
             self.line(f"block {block['block']}: gatherers {gatherers}")
             self.print_table(
-                ("leaf", "phase", "mean ms", "p95 ms", "in flight", "limit"),
+                ("leaf", "phase", "mean ms", "p98 ms", "in flight", "limit"),
                 (_leaf_row(each) for each in block["leaves"]),
             )
         return common.EXIT_OK
--- a/trefoilpier/routing/gather.py
+++ b/trefoilpier/routing/gather.py
@@ -226,15 +226,16 @@
         now = self._context.clock.monotonic()
         state = out.state
         latency = now - out.sent_at
+        age = now - state.sampled_at
         if reply.status == leaf.CallStatus.OK:
             state.sampled_at = now
-            state.latency.add(latency)
+            state.latency.add(latency, age=age)
             out.lane.answered(latency)
         elif reply.status == leaf.CallStatus.SHED:
             out.lane.shed()
         elif reply.status in attempt.UNFINISHED:
             state.sampled_at = now
-            state.latency.add_unfinished(latency)
+            state.latency.add_unfinished(latency, age=age)
         if reply.status not in attempt.CLIENT_SIDE:
             state.last_reply_at = now
             state.failures = 0
--- a/trefoilpier/routing/replica.py
+++ b/trefoilpier/routing/replica.py
@@ -4,7 +4,6 @@
 
 from trefoilpier import board
 
-_LATENCY_HALF_LIFE_S = 5.0
 _ASKED_FACTOR = 3.0
 _LOAD_HINT_WEIGHT = 0.2
 _LOAD_HINT_AGE_S = 2.0
@@ -107,7 +106,7 @@
             mean = best
         elif mean > best:
             age = now - state.sampled_at
-            mean = best + (mean - best) * 0.5 ** (age / _LATENCY_HALF_LIFE_S)
+            mean = best + (mean - best) * 0.5 ** (age / board.MEAN_HALF_LIFE_S)
         busy = (state.in_flight + state.queued + 1) / max(1.0, state.limit)
         hint = 0.0
         if now - state.reported_at < _LOAD_HINT_AGE_S:
--- a/trefoilpier/routing/tests/test_replica.py
+++ b/trefoilpier/routing/tests/test_replica.py
@@ -41,7 +41,7 @@
     state.sampled_at = scene.clock.monotonic()
     assert _choose(scene)["leaf-0-1"] == 0
     scene.board.leaves.state_by_id["leaf-0-0"].in_flight = 1
-    scene.clock.advance(60.0)
+    scene.clock.advance(10 * board.MEAN_HALF_LIFE_S)
     state.last_reply_at = scene.clock.monotonic()
     assert _choose(scene)["leaf-0-1"] > 0
 
