--- a/bench/http_clients.py
+++ b/bench/http_clients.py
@@ -123,6 +123,24 @@
         endpoint.connect(factory)
 
 
+def _open_connections(
+    reactor: Any,
+    port: int,
+    on_open: Callable[[connection.LeafConnection], None],
+) -> None:
+    """Opens the connections of a client that parses by httptools."""
+    for _ in range(_AT_A_TIME):
+        factory = protocol.Factory()
+        factory.protocol = lambda: connection.LeafConnection(
+            host_header=b"leaf",
+            now=time.monotonic,
+            on_open=on_open,
+            on_close=lambda closed: None,
+        )
+        endpoint = endpoints.TCP4ClientEndpoint(reactor, rig.HOST, port)
+        endpoint.connect(factory)
+
+
 def _start_httptools(reactor: Any, port: int, counter: _Counter) -> None:
     def send(opened: connection.LeafConnection) -> None:
         body = counter.next_body()
@@ -135,16 +153,7 @@
         counter.answered(data)
         send(opened)
 
-    for _ in range(_AT_A_TIME):
-        factory = protocol.Factory()
-        factory.protocol = lambda: connection.LeafConnection(
-            host_header=b"leaf",
-            now=time.monotonic,
-            on_open=send,
-            on_close=lambda closed: None,
-        )
-        endpoint = endpoints.TCP4ClientEndpoint(reactor, rig.HOST, port)
-        endpoint.connect(factory)
+    _open_connections(reactor, port, send)
 
 
 def _start_together(reactor: Any, port: int, counter: _Counter) -> None:
@@ -167,16 +176,7 @@
             counter.answered_row(row)
         send(opened)
 
-    for _ in range(_AT_A_TIME):
-        factory = protocol.Factory()
-        factory.protocol = lambda: connection.LeafConnection(
-            host_header=b"leaf",
-            now=time.monotonic,
-            on_open=send,
-            on_close=lambda closed: None,
-        )
-        endpoint = endpoints.TCP4ClientEndpoint(reactor, rig.HOST, port)
-        endpoint.connect(factory)
+    _open_connections(reactor, port, send)
 
 
 def _start_agent(reactor: Any, port: int, counter: _Counter) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -9,7 +9,13 @@
 
 from twisted.internet import defer
 
-from standins import leaf_model, memory, platform_model
+from standins import (
+    leaf_model,
+    memory_leaves,
+    memory_peers,
+    memory_store,
+    platform_model,
+)
 from trefoilpier import base, board, config, membership, node, peer, query
 
 _CONNECT_S = 0.005
@@ -62,11 +68,13 @@
         self.log = log or base.NullEventLog()
         self.timing = timing or membership.MembershipTiming()
         self.queries_max = queries_max
-        self.network = memory.MemoryNetwork(
+        self.network = memory_peers.MemoryNetwork(
             clock=self.clock, rng=random.Random(seed + 1)
         )
         self.platform = platform_model.PlatformModel(clock=self.clock)
-        self.store = memory.MemoryStore(clock=self.clock, model=self.platform)
+        self.store = memory_store.MemoryStore(
+            clock=self.clock, model=self.platform
+        )
         built = config.build_config_set(version=0, objects=objects).ok
         self.set = built
         self.zones = sorted({each.zone for each in built.leaf_by_id.values()})
@@ -82,7 +90,7 @@
 
     def _make_host(
         self, leaf_id: str, seed: int, median_s: float, sigma: float, queue: int
-    ) -> memory.LeafHost:
+    ) -> memory_leaves.LeafHost:
         group = self.set.group_by_leaf_id[leaf_id]
         setup = leaf_model.LeafSetup(
             id=leaf_id,
@@ -104,7 +112,9 @@
             rng=random.Random(f"{seed}|{leaf_id}"),
         )
         zone = self.set.leaf_by_id[leaf_id].zone
-        return memory.LeafHost(model=model, zone=zone, connect_s=_CONNECT_S)
+        return memory_leaves.LeafHost(
+            model=model, zone=zone, connect_s=_CONNECT_S
+        )
 
     def start(self, settle: float = 3.0) -> None:
         """Publishes the objects, starts the nodes and lets them settle."""
@@ -152,7 +162,7 @@
             clock=self.clock,
             rng=random.Random(self.rng.random()),
             log=self.log,
-            leaves=memory.MemoryLeafTransport(
+            leaves=memory_leaves.MemoryLeafTransport(
                 clock=self.clock, host_by_leaf=self.host_by_leaf, zone=zone
             ),
             network=endpoint,
--- a/trefoilpier/base/events.py
+++ b/trefoilpier/base/events.py
@@ -12,7 +12,6 @@
     READY = ("TPE-1002", "INFO", "node ready")
     DRAIN_STARTED = ("TPE-1003", "INFO", "drain started")
     STOPPED = ("TPE-1004", "INFO", "node stopped")
-    SETTINGS_REJECTED = ("TPE-1005", "ERROR", "settings rejected")
     LOOP_STALLED = ("TPE-1006", "WARNING", "event loop stalled")
     QUERY_DECIDED = ("TPE-2001", "INFO", "query routed")
     QUERY_REFUSED = ("TPE-2002", "INFO", "query refused")
--- a/trefoilpier/config/tests/test_publish.py
+++ b/trefoilpier/config/tests/test_publish.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from twisted.internet import defer
 
-from standins import fleet, memory, platform_model
+from standins import fleet, memory_store, platform_model
 from trefoilpier import base, config
 
 
@@ -14,7 +14,9 @@
     def __init__(self):
         self.clock = base.VirtualClock()
         self.model = platform_model.PlatformModel(clock=self.clock)
-        self.store = memory.MemoryStore(clock=self.clock, model=self.model)
+        self.store = memory_store.MemoryStore(
+            clock=self.clock, model=self.model
+        )
 
     def start(self, token, expect=None, vms=7):
         publisher = config.Publisher(store=self.store, clock=self.clock)
--- a/trefoilpier/node/config_controller.py
+++ b/trefoilpier/node/config_controller.py
@@ -98,6 +98,11 @@
         """Ends watching and pulling."""
         self._stopped = True
 
+    def recheck(self) -> None:
+        """Reads the head once more, after this process stood still."""
+        if not self._stopped:
+            self._spawn(self._read_head())
+
     def heard(self, sender: str, version: int) -> None:
         """Takes in the version that a peer has in force."""
         section = self._board.config
--- a/trefoilpier/node/main.py
+++ b/trefoilpier/node/main.py
@@ -139,7 +139,8 @@
     read = config.read_settings(pathlib.Path(sys.argv[1]))
     if read.is_error():
         for finding in read.error:
-            print(finding, file=sys.stderr)
+            code = base.ResultCode.SETTINGS_INVALID
+            print(f"{code} {finding}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     settings = read.ok
     base.configure_logging(style=settings.log_style, level=settings.log_level)
--- a/trefoilpier/node/node.py
+++ b/trefoilpier/node/node.py
@@ -16,7 +16,9 @@
     query,
     routing,
 )
-from trefoilpier.node import config_controller, leaf_controller
+from trefoilpier.node import config_controller, leaf_controller, loop_watch
+
+_READY_PERIOD_S = 0.1
 
 
 @dataclass(slots=True, kw_only=True)
@@ -60,6 +62,7 @@
         "_config",
         "_leaves",
         "_log",
+        "_loop_watch",
         "_membership",
         "own",
         "_requests",
@@ -158,6 +161,11 @@
                 next_id=self._requests.next_id,
             ),
         )
+        self._loop_watch = loop_watch.LoopWatch(
+            clock=parts.clock,
+            log=parts.log,
+            on_frozen=self._config.recheck,
+        )
         parts.network.set_listener(self._received, self._requests.link_lost)
 
     def start(self) -> None:
@@ -165,8 +173,17 @@
         self._membership.start(self.own, self._seeds)
         self._leaves.start()
         self._config.start()
+        self._loop_watch.start()
+        self._announce_ready()
         self._log.emit(base.Event.STARTED, node=self.own.id)
 
+    def _announce_ready(self) -> None:
+        """Writes one event when this node becomes ready."""
+        if self.ready():
+            self._log.emit(base.Event.READY, node=self.own.id)
+        elif not self.board.drain.draining:
+            self._clock.call_later(_READY_PERIOD_S, self._announce_ready)
+
     def ready(self) -> bool:
         """Tells whether this node should be given callers' requests."""
         return (
@@ -193,6 +210,7 @@
 
     def stop(self) -> None:
         """Ends the controllers and releases the leaves."""
+        self._loop_watch.stop()
         self._config.stop()
         self._leaves.stop()
         self._log.emit(base.Event.STOPPED, node=self.own.id)
--- a/trefoilpier/once/tests/test_claims.py
+++ b/trefoilpier/once/tests/test_claims.py
@@ -8,7 +8,7 @@
     rule,
 )
 
-from standins import memory, platform_model
+from standins import memory_store, platform_model
 from trefoilpier import base, once
 
 
@@ -25,7 +25,7 @@
             self.count += 1
             return f"{name}-{self.count}"
 
-        store = memory.MemoryStore(clock=self.clock, model=self.model)
+        store = memory_store.MemoryStore(clock=self.clock, model=self.model)
         return once.Claims(
             store=store,
             clock=self.clock,
--- a/trefoilpier/query/entry.py
+++ b/trefoilpier/query/entry.py
@@ -2,10 +2,9 @@
 
 import datetime
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from trefoilpier import base, board, config, limits, once, peer, routing
-from trefoilpier.query import fanout, outcome, peers
+from trefoilpier.query import fanout, outcome, peers, run_state
 
 _VERSIONS_WAIT_S = 0.1
 _RESTART_MIN_LEFT_S = 0.01
@@ -15,26 +14,6 @@
 _NO_CONFIG_RETRY = datetime.timedelta(seconds=1)
 
 
-@dataclass(slots=True, kw_only=True)
-class _Run:
-    """One request while it runs."""
-
-    request: outcome.Request
-    service: config.Service
-    group: config.ShardGroup
-    policy: config.Policy
-    config_version: int
-    deadline: float
-    started_at: float
-    shards: tuple[int, ...]
-    on_done: Callable[[outcome.Outcome], None]
-    fan_out: fanout.FanOut | None = None
-    snapshot: routing.Snapshot | None = None
-    restarts: int = 0
-    claim: once.Claim | None = None
-    ended: bool = False
-
-
 class EntryRunner:
     """Admits requests, pins their snapshot, runs them and reports once."""
 
@@ -138,7 +117,7 @@
         current: config.ConfigSet,
         service: config.Service,
         on_done: Callable[[outcome.Outcome], None],
-    ) -> _Run:
+    ) -> run_state.Run:
         """Pins the configuration and the shards of a request."""
         now = self._clock.monotonic()
         group = current.shard_group_by_name[service.shard_group]
@@ -149,7 +128,7 @@
         shards = tuple(range(group.shard_count))
         if service.merge == config.Merge.SINGLE:
             shards = (service.shard_of(request.route, group.shard_count),)
-        return _Run(
+        return run_state.Run(
             request=request,
             service=service,
             group=group,
@@ -161,14 +140,14 @@
             on_done=on_done,
         )
 
-    def _enter(self, run: _Run) -> None:
+    def _enter(self, run: run_state.Run) -> None:
         queries = self._board.queries
         queries.in_flight += 1
         caller = run.request.caller
         by_caller = queries.in_flight_by_caller
         by_caller[caller] = by_caller.get(caller, 0) + 1
 
-    def _leave(self, run: _Run) -> None:
+    def _leave(self, run: run_state.Run) -> None:
         queries = self._board.queries
         queries.in_flight -= 1
         caller = run.request.caller
@@ -198,7 +177,7 @@
             )
         )
 
-    def _claim(self, run: _Run) -> None:
+    def _claim(self, run: run_state.Run) -> None:
         """Claims the idempotency key before anything is sent."""
         self._claims.claim(
             service=run.service.name,
@@ -208,7 +187,7 @@
             on_done=lambda claimed: self._claimed(run, claimed),
         )
 
-    def _claimed(self, run: _Run, claimed: once.ClaimResult) -> None:
+    def _claimed(self, run: run_state.Run, claimed: once.ClaimResult) -> None:
         """Goes on with a claimed key, or tells what is known of it."""
         if claimed.is_error():
             self._end(run, self._outcome_of_settled(run, claimed.error))
@@ -220,7 +199,7 @@
         self._pin(run)
 
     def _outcome_of_settled(
-        self, run: _Run, settled: once.Settled
+        self, run: run_state.Run, settled: once.Settled
     ) -> outcome.Outcome:
         return outcome.Outcome(
             code=settled.code,
@@ -231,7 +210,7 @@
             config_version=run.config_version,
         )
 
-    def _pin(self, run: _Run) -> None:
+    def _pin(self, run: run_state.Run) -> None:
         """Pins the snapshot, after asking gatherers that are not known."""
         if run.ended:
             return
@@ -247,7 +226,7 @@
             return
         self._ask_versions(run, unknown)
 
-    def _blocks(self, run: _Run) -> list[config.Block]:
+    def _blocks(self, run: run_state.Run) -> list[config.Block]:
         """Returns the blocks that hold the run's shards."""
         by_id = {}
         for shard in run.shards:
@@ -255,7 +234,9 @@
             by_id[block.id] = block
         return list(by_id.values())
 
-    def _ask_versions(self, run: _Run, unknown: list[config.Block]) -> None:
+    def _ask_versions(
+        self, run: run_state.Run, unknown: list[config.Block]
+    ) -> None:
         """Asks the gatherers of unknown blocks what they can serve."""
         blocks_by_gatherer: dict[str, list[config.Block]] = {}
         for block in unknown:
@@ -303,7 +284,7 @@
             if known:
                 self._snapshots.learn(block.id, known)
 
-    def _start(self, run: _Run) -> None:
+    def _start(self, run: run_state.Run) -> None:
         """Chooses the index version and starts the fan-out."""
         if run.ended:
             return
@@ -339,7 +320,7 @@
         run.fan_out.start()
 
     def _query_spec(
-        self, run: _Run, snapshot: routing.Snapshot
+        self, run: run_state.Run, snapshot: routing.Snapshot
     ) -> routing.QuerySpec:
         soft = run.started_at + run.policy.soft_deadline.total_seconds()
         return routing.QuerySpec(
@@ -365,7 +346,9 @@
         budget.set_share(share)
         return budget
 
-    def _gathered(self, run: _Run, result: routing.GatherResult) -> None:
+    def _gathered(
+        self, run: run_state.Run, result: routing.GatherResult
+    ) -> None:
         """Takes in the merged result; restarts once if its version went."""
         if run.ended:
             return
@@ -382,7 +365,9 @@
             return
         self._end(run, self._outcome(run, result))
 
-    def _should_restart(self, run: _Run, result: routing.GatherResult) -> bool:
+    def _should_restart(
+        self, run: run_state.Run, result: routing.GatherResult
+    ) -> bool:
         """Tells whether a newer snapshot would cover more, in time."""
         gone = routing.MissReason.VERSION_GONE
         if gone not in result.reason_by_missing.values() or run.restarts:
@@ -393,12 +378,12 @@
         return left > _RESTART_MIN_LEFT_S
 
     def _outcome(
-        self, run: _Run, result: routing.GatherResult
+        self, run: run_state.Run, result: routing.GatherResult
     ) -> outcome.Outcome:
         """Turns a merged result into what the caller is told."""
         total = len(run.shards)
         answered = len(result.answered)
-        code, detail = _judge(run, result)
+        code, detail = run_state.judge(run, result)
         retry_after = None
         if code not in (base.ResultCode.COMPLETE, base.ResultCode.PARTIAL):
             retry_after = max(
@@ -423,7 +408,7 @@
             choices=result.choices(),
         )
 
-    def _end_unrun(self, run: _Run, code: base.ResultCode) -> None:
+    def _end_unrun(self, run: run_state.Run, code: base.ResultCode) -> None:
         """Ends a request of which nothing was sent."""
         self._end(
             run,
@@ -435,7 +420,7 @@
             ),
         )
 
-    def _end(self, run: _Run, final: outcome.Outcome) -> None:
+    def _end(self, run: run_state.Run, final: outcome.Outcome) -> None:
         """Reports the one outcome of a request."""
         if run.ended:
             return
@@ -456,7 +441,7 @@
             claim, code=final.code, ran=final.ran, result=final.result
         )
 
-    def _log_decision(self, run: _Run, final: outcome.Outcome) -> None:
+    def _log_decision(self, run: run_state.Run, final: outcome.Outcome) -> None:
         """Writes the one line of the routing decision."""
         elapsed = self._clock.monotonic() - run.started_at
         coverage = final.coverage
@@ -479,7 +464,7 @@
             choices=final.choices,
         )
 
-    def _withdraw(self, run: _Run) -> None:
+    def _withdraw(self, run: run_state.Run) -> None:
         """Ends the work for a caller that went away.
 
         A call that must not be repeated is left to end, so that its outcome
@@ -493,31 +478,5 @@
             run.fan_out.cancel()
 
 
-def _judge(
-    run: _Run, result: routing.GatherResult
-) -> tuple[base.ResultCode, str]:
-    """Chooses the code of a merged result."""
-    total = len(run.shards)
-    answered = len(result.answered)
-    if answered == total:
-        return base.ResultCode.COMPLETE, ""
-    if result.ran == base.Ran.UNKNOWN and not run.service.repeatable:
-        return base.ResultCode.OUTCOME_UNKNOWN, "it may or may not have run"
-    if answered and answered >= run.policy.minimum_coverage * total:
-        return base.ResultCode.PARTIAL, ""
-    if answered:
-        return base.ResultCode.BELOW_MINIMUM_COVERAGE, "too few shards answered"
-    reasons = set(result.reason_by_missing.values())
-    if reasons <= {routing.MissReason.SHED}:
-        return base.ResultCode.OVERLOADED, "the leaves shed the calls"
-    if routing.MissReason.VERSION_GONE in reasons:
-        return base.ResultCode.SNAPSHOT_GONE, "the index version is gone"
-    if routing.MissReason.LATE in reasons:
-        return base.ResultCode.DEADLINE_PASSED, "no shard answered in time"
-    if routing.MissReason.FAILED in reasons:
-        return base.ResultCode.LEAF_FAILED, "the leaves failed"
-    return base.ResultCode.NO_LEAF, "no leaf could be reached"
-
-
 def _nothing() -> None:
     """Withdraws a request that has ended already."""
