--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -6,7 +6,7 @@
 
 import httptools
 import orjson
-from twisted.internet import protocol
+from twisted.internet import protocol, reactor
 
 
 class HttpCall:
@@ -56,7 +56,16 @@
         *,
         handle: Callable[[HttpCall], None],
         on_lost: Callable[["HttpProtocol"], None] | None = None,
+        wait_s: float = 0.0,
     ) -> None:
+        """Prepares a connection.
+
+        Args:
+            handle: Gets each request.
+            on_lost: Called when the connection has closed.
+            wait_s: Seconds for which nothing is read after it has opened.
+        """
+        self._wait_s = wait_s
         self._handle = handle
         self._on_lost = on_lost
         self._parser = httptools.HttpRequestParser(self)
@@ -66,8 +75,15 @@
         self.muted = False
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Turns off Nagle's algorithm."""
+        """Turns off Nagle's algorithm and waits out the cost of opening."""
         self.transport.setTcpNoDelay(True)
+        if self._wait_s:
+            self.transport.pauseProducing()
+            reactor.callLater(self._wait_s, self._begin)
+
+    def _begin(self) -> None:
+        if self.transport.connected:
+            self.transport.resumeProducing()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feeds the parser, unless the connection is silent."""
--- a/standins/leaf.py
+++ b/standins/leaf.py
@@ -23,9 +23,21 @@
     noisy = False
 
     def __init__(
-        self, *, model: leaf_model.LeafModel, rng: random.Random
+        self,
+        *,
+        model: leaf_model.LeafModel,
+        rng: random.Random,
+        connect_s: float,
     ) -> None:
+        """Prepares a server.
+
+        Args:
+            model: The leaf's behaviour.
+            rng: Seeded random numbers.
+            connect_s: Seconds that a new connection takes to be of use.
+        """
         self.model = model
+        self._connect_s = connect_s
         self.accepted = 0
         self.refused = 0
         self.peak = 0
@@ -39,7 +51,9 @@
             self.refused += 1
             return None
         self.accepted += 1
-        made = httpd.HttpProtocol(handle=self._handle, on_lost=self._lost)
+        made = httpd.HttpProtocol(
+            handle=self._handle, on_lost=self._lost, wait_s=self._connect_s
+        )
         self._open.add(made)
         self.peak = max(self.peak, len(self._open))
         return made
@@ -198,6 +212,7 @@
     parser.add_argument("--slots", type=int, default=2)
     parser.add_argument("--queue", type=int, default=4)
     parser.add_argument("--connections", type=int, default=25)
+    parser.add_argument("--connect-ms", type=float, default=0.0)
     parser.add_argument("--median-ms", type=float, default=5.0)
     parser.add_argument("--sigma", type=float, default=0.3)
     parser.add_argument("--seed", type=int, default=1)
@@ -240,7 +255,9 @@
         model = leaf_model.LeafModel(setup=setup, clock=clock, rng=rng)
         if args.ledger:
             model.on_run = _ledger_writer(args.ledger)
-        server = LeafServer(model=model, rng=rng)
+        server = LeafServer(
+            model=model, rng=rng, connect_s=args.connect_ms / 1000
+        )
         server_by_leaf[leaf_id] = server
         reactor.listenTCP(int(port), server, interface=args.host)
     control = ControlServer(server_by_leaf=server_by_leaf)
--- a/standins/leaf_model.py
+++ b/standins/leaf_model.py
@@ -57,6 +57,7 @@
         fail_share: Share of calls that run and fail.
         drain: Whether it asks for no new work.
         load: What it reports instead of its load, or None.
+        load_lag_s: Seconds by which the reported load lags.
         mute_calls: Whether connections go silent when a call comes.
         lose_answers: Share of calls whose connection closes after the run.
         twice: Whether an answer is sent a second time.
@@ -72,6 +73,7 @@
     fail_share: float = 0.0
     drain: bool = False
     load: float | None = None
+    load_lag_s: float = 0.0
     mute_calls: bool = False
     lose_answers: float = 0.0
     twice: bool = False
@@ -124,6 +126,7 @@
     __slots__ = (
         "_clock",
         "_job_by_id",
+        "_load_history",
         "_queue",
         "_random",
         "_running",
@@ -148,14 +151,16 @@
         self._running = 0
         self._queue: collections.deque[_Job] = collections.deque()
         self._job_by_id: dict[str, _Job] = {}
+        self._load_history: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
         self._started_at = clock.monotonic()
 
     def report(self) -> dict[str, Any]:
         """Returns what the leaf says of itself."""
         load = self.faults.load
         if load is None:
-            busy = self._running + len(self._queue)
-            load = min(1.0, busy / (self.setup.slots + self.setup.queue))
+            load = self._lagging_load()
         return {
             "versions": self.setup.versions,
             "epoch": self.setup.epoch,
@@ -164,6 +169,19 @@
             "draining": self.faults.drain,
         }
 
+    def _lagging_load(self) -> float:
+        """Returns the load as it was before the lag."""
+        now = self._clock.monotonic()
+        busy = self._running + len(self._queue)
+        load = min(1.0, busy / (self.setup.slots + self.setup.queue))
+        history = self._load_history
+        history.append((now, load))
+        while len(history) > 1 and history[1][0] <= (
+            now - self.faults.load_lag_s
+        ):
+            history.popleft()
+        return history[0][1]
+
     def call(
         self, call: dict[str, Any], reply: Callable[[dict[str, Any]], None]
     ) -> None:
