--- a/trefoilpier/board/board.py
+++ b/trefoilpier/board/board.py
@@ -44,15 +44,23 @@
         node_by_id: Records of all known nodes.
         live_ids: Nodes that take part in placement, sorted.
         generation: Grows whenever ``live_ids`` changes.
+        control_bytes: Bytes of control traffic sent since the start.
     """
 
-    __slots__ = ("generation", "live_ids", "node_by_id", "self_id")
+    __slots__ = (
+        "control_bytes",
+        "generation",
+        "live_ids",
+        "node_by_id",
+        "self_id",
+    )
 
     def __init__(self, *, self_id: str) -> None:
         self.self_id = self_id
         self.node_by_id: dict[str, nodes.NodeRecord] = {}
         self.live_ids: tuple[str, ...] = ()
         self.generation = 0
+        self.control_bytes = 0
 
     def refresh(self) -> None:
         """Recomputes the live nodes after a change of records.
--- a/trefoilpier/caller/metrics.py
+++ b/trefoilpier/caller/metrics.py
@@ -13,6 +13,7 @@
     ("leaf_calls_extra_total", "Hedges and retries among them."),
     ("config_version", "Configuration version in force."),
     ("config_version_heard", "Highest version heard of."),
+    ("control_bytes_total", "Control traffic sent since the start."),
     ("nodes_live", "Entry VMs that take part in placement."),
     ("draining", "Whether the graceful shutdown has begun."),
 )
@@ -55,6 +56,7 @@
             queries.leaf_calls_extra,
             self._board.config.version,
             self._board.config.heard_version,
+            self._board.nodes.control_bytes,
             len(self._board.nodes.live_ids),
             int(self._board.drain.draining),
         )
--- a/trefoilpier/node/tests/test_config_controller.py
+++ b/trefoilpier/node/tests/test_config_controller.py
@@ -101,3 +101,13 @@
     made.platform.faults = platform_model.PlatformFaults()
     made.clock.advance(30.0)
     assert len(_versions(made)) == 1
+
+
+def test_control_bytes_are_counted_for_the_metrics():
+    made = _fleet()
+    node = made.node_by_id["vm-1"]
+    before = node.board.nodes.control_bytes
+    sent_before = made.network.bytes_by_node["vm-1"]
+    made.clock.advance(10.0)
+    counted = node.board.nodes.control_bytes - before
+    assert counted == made.network.bytes_by_node["vm-1"] - sent_before > 0
--- a/trefoilpier/query/peers.py
+++ b/trefoilpier/query/peers.py
@@ -64,27 +64,27 @@
             return self._network.send(node_id, address, envelope)
 
         if peer.is_control(message):
-            self._control.submit(message, send)
+            self._control.submit(message, lambda: self._count(send()))
         else:
             send()
         return True
 
+    def _count(self, size: int) -> int:
+        """Adds the bytes of a control message to the blackboard's count."""
+        self._board.nodes.control_bytes += size
+        return size
+
     def send_datagram(
         self, address: peer.PeerAddress, message: peer.Message
     ) -> None:
         """Sends a datagram; they are all control traffic."""
         self._control.submit(
             message,
-            lambda: self._network.send_datagram(
-                address, self._envelope(message)
+            lambda: self._count(
+                self._network.send_datagram(address, self._envelope(message))
             ),
         )
 
-    @property
-    def control_bytes(self) -> int:
-        """Bytes of control traffic sent since the start."""
-        return self._control.sent_bytes
-
     def ask(
         self,
         node_id: str,
