--- a/trefoilpier/query/peers.py
+++ b/trefoilpier/query/peers.py
@@ -64,12 +64,12 @@
             return self._network.send(node_id, address, envelope)
 
         if peer.is_control(message):
-            self._control.submit(message, lambda: self._count(send()))
+            self._control.submit(message, lambda: self._count_bytes(send()))
         else:
             send()
         return True
 
-    def _count(self, size: int) -> int:
+    def _count_bytes(self, size: int) -> int:
         """Adds the bytes of a control message to the blackboard's count."""
         self._board.nodes.control_bytes += size
         return size
@@ -80,7 +80,7 @@
         """Sends a datagram; they are all control traffic."""
         self._control.submit(
             message,
-            lambda: self._count(
+            lambda: self._count_bytes(
                 self._network.send_datagram(address, self._envelope(message))
             ),
         )
