Remove what nobody used; the hedger's counterpart is an abstract base class

Cause: a reading of the change found two unused constants, a field that was only written, and an interface without abc.

Change: removed; HedgedGather is abstract and stands above its user.

Measured: all tests pass as before.

--- a/trefoilpier/peer/network.py
+++ b/trefoilpier/peer/network.py
@@ -6,8 +6,6 @@
 
 from trefoilpier.peer import messages
 
-DATAGRAM_BYTES_MAX = 1200
-
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class PeerAddress:
--- a/trefoilpier/query/fanout.py
+++ b/trefoilpier/query/fanout.py
@@ -5,7 +5,6 @@
 from trefoilpier import base, board, config, limits, peer, routing
 from trefoilpier.query import peers, remote
 
-_ENTRY_EXTRA_SHARE = 0.2
 _SOFT_GRACE_S = 0.010
 
 
@@ -14,7 +13,6 @@
 
     __slots__ = (
         "_answered",
-        "_budget",
         "_clock",
         "_finished",
         "_local",
@@ -60,7 +58,6 @@
         self._clock = context.clock
         self._wait_by_block = context.board.queries.wait_by_block
         self._snapshots = snapshots
-        self._budget = budget
         self._spec = query
         self._on_done = on_done
         self._finished = False
--- a/trefoilpier/routing/gather.py
+++ b/trefoilpier/routing/gather.py
@@ -105,7 +105,7 @@
             self._finished = True
             self._stop()
 
-    def ask(self, task: attempt.ShardTask, state: Any) -> bool:
+    def ask(self, task: attempt.ShardTask, state: board.LeafState) -> bool:
         """Queues a call at a leaf; returns False if the leaf is not held."""
         lane = self._context.lane_by_leaf.get(state.leaf.id)
         if lane is None:
--- a/trefoilpier/routing/hedger.py
+++ b/trefoilpier/routing/hedger.py
@@ -1,12 +1,32 @@
 """Asks again for the shards of a query that are late."""
 
-from trefoilpier import base, limits
+import abc
+
+from trefoilpier import base, board, limits
 from trefoilpier.routing import attempt, context, spec
 
 _PERIOD_S = 0.001
 _LOOK_S = 0.020
 
 
+class HedgedGather(abc.ABC):
+    """What a hedger needs of its gather."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def ask(self, task: attempt.ShardTask, state: board.LeafState) -> bool:
+        """Makes one more call; returns False if it could not."""
+
+    @abc.abstractmethod
+    def withdraw(self, out: attempt.Attempt) -> None:
+        """Withdraws a call that is queued or out."""
+
+    @abc.abstractmethod
+    def count_extra(self) -> None:
+        """Counts a call beyond the first ones."""
+
+
 class Hedger:
     """Watches one query's shards with one timer.
 
@@ -34,7 +54,7 @@
         query: spec.QuerySpec,
         tasks: list[attempt.ShardTask],
         budget: limits.LoadBudget,
-        gather: "HedgedGather",
+        gather: HedgedGather,
     ) -> None:
         """Prepares a hedger.
 
@@ -124,21 +144,3 @@
             self._gather.count_extra()
         else:
             self._budget.refund()
-
-
-class HedgedGather:
-    """What a hedger needs of its gather."""
-
-    __slots__ = ()
-
-    def ask(self, task: attempt.ShardTask, state: object) -> bool:
-        """Makes one more call; returns False if it could not."""
-        raise NotImplementedError
-
-    def withdraw(self, out: attempt.Attempt) -> None:
-        """Withdraws a call that is queued or out."""
-        raise NotImplementedError
-
-    def count_extra(self) -> None:
-        """Counts a call beyond the first ones."""
-        raise NotImplementedError
