A silent connection does not count as its leaf's latency; every refusal says when

Since an old sample gives way to a new one, the second that a silent connection was waited for became the leaf's mean latency, so the usual answer time passed the deadline; and that refusal carried no retry_after.

Change: a silent call teaches nothing of its leaf; a deadline that is too short is told when to come back.

--- a/trefoilpier/limits/admission.py
+++ b/trefoilpier/limits/admission.py
@@ -144,11 +144,12 @@
                 "the shards' queues are too long for the time left",
                 _retry_after(wait),
             )
-        if wait + self._typical(group) > remaining:
+        needed = wait + self._typical(group)
+        if needed > remaining:
             return _refuse(
                 base.ResultCode.DEADLINE_TOO_SHORT,
                 "the deadline is shorter than the usual answer time",
-                None,
+                _retry_after(needed),
             )
         return expression.Ok(None)
 
@@ -250,7 +251,7 @@
 def _refuse(
     code: base.ResultCode,
     detail: str,
-    retry_after: datetime.timedelta | None,
+    retry_after: datetime.timedelta,
 ) -> expression.Result[None, base.Failure]:
     return expression.Error(
         base.Failure(code=code, detail=detail, retry_after=retry_after)
--- a/trefoilpier/limits/tests/test_admission.py
+++ b/trefoilpier/limits/tests/test_admission.py
@@ -20,7 +20,7 @@
         for state in self.scene.board.leaves.state_by_id.values():
             state.queued = calls
 
-    def admit(self, seconds, caller="c"):
+    def admit(self, seconds, caller="c", remaining=0.32):
         """Asks each millisecond; returns the refusals."""
         refused = []
         for _ in range(round(seconds * 1000)):
@@ -30,7 +30,7 @@
                 group=self.scene.group,
                 policy=self.scene.set.policy_by_name["usual"],
                 caller=caller,
-                remaining=0.32,
+                remaining=remaining,
             )
             if done.is_error():
                 refused.append(done.error)
@@ -71,3 +71,11 @@
     queries.in_flight_by_caller = {"greedy": 60, "other": 20}
     assert len(door.admit(0.01, caller="greedy")) == 10
     assert door.admit(0.01, caller="other") == []
+
+
+def test_deadline_that_is_too_short_is_told_when_to_come_back():
+    door = _Door()
+    (refused,) = door.admit(0.001, remaining=0.002)
+    assert refused.code == base.ResultCode.DEADLINE_TOO_SHORT
+    assert refused.ran == base.Ran.NO
+    assert refused.retry_after.total_seconds() > 0
--- a/trefoilpier/routing/attempt.py
+++ b/trefoilpier/routing/attempt.py
@@ -22,7 +22,6 @@
         leaf.CallStatus.NOT_SENT,
     }
 )
-UNFINISHED = frozenset({leaf.CallStatus.SILENT, leaf.CallStatus.CANCELLED})
 CLIENT_SIDE = frozenset(
     {
         leaf.CallStatus.NOT_SENT,
--- a/trefoilpier/routing/gather.py
+++ b/trefoilpier/routing/gather.py
@@ -233,7 +233,7 @@
             out.lane.answered(latency)
         elif reply.status == leaf.CallStatus.SHED:
             out.lane.shed()
-        elif reply.status in attempt.UNFINISHED:
+        elif reply.status == leaf.CallStatus.CANCELLED:
             state.sampled_at = now
             state.latency.add_unfinished(latency, age=age)
         if reply.status not in attempt.CLIENT_SIDE:
--- a/trefoilpier/routing/tests/test_gather.py
+++ b/trefoilpier/routing/tests/test_gather.py
@@ -201,3 +201,16 @@
     assert not scene.results
     scene.clock.advance(0.02)
     assert len(scene.results[0].answered) == 3
+
+
+def test_silent_connection_is_not_held_against_its_leaf():
+    # The time that a silent connection was waited for counted as the leaf's
+    # latency, and requests were then refused for a deadline too short.
+    scene = scripted.Scene(shards=2)
+    scene.gather(shards=[0], deadline=1.0)
+    here, _ = scene.transport.calls[0]
+    state = scene.board.leaves.state_by_id[here]
+    before = state.latency.mean
+    scene.clock.advance(0.9)
+    scene.answer(0, _STATUS.SILENT)
+    assert state.latency.mean == before
