--- a/trefoilpier/limits/admission.py
+++ b/trefoilpier/limits/admission.py
@@ -11,7 +11,6 @@
 _PRESSURE_PERIOD_S = 0.005
 _RETRY_MIN_S = 0.05
 _SHARE_FROM = 0.5
-_HALF_WINDOW_S = 0.05
 _REFUSE_NONE = 0.15
 _REFUSE_ALL = 0.45
 _DRAIN_RETRY = datetime.timedelta(milliseconds=50)
@@ -47,28 +46,6 @@
         return mine < max(1, self._places // max(1, callers))
 
 
-class _LowestWait:
-    """The lowest of the waits seen in this half of a window and the last."""
-
-    __slots__ = ("_begun_at", "_last", "_lowest")
-
-    def __init__(self) -> None:
-        self._begun_at = 0.0
-        self._last = 0.0
-        self._lowest = 0.0
-
-    def add(self, now: float, wait: float) -> float:
-        """Takes in a wait and returns the lowest one."""
-        age = now - self._begun_at
-        if age >= _HALF_WINDOW_S:
-            # After a gap without requests the last half tells nothing.
-            self._last = self._lowest if age < 2 * _HALF_WINDOW_S else 0.0
-            self._lowest = wait
-            self._begun_at = now
-        self._lowest = min(self._lowest, wait)
-        return min(self._lowest, self._last)
-
-
 class Admission:
     """Refuses at once what cannot be answered in time."""
 
@@ -78,7 +55,6 @@
         "_fair",
         "_pressure_by_group",
         "_random",
-        "_window_by_group",
     )
 
     def __init__(
@@ -94,7 +70,6 @@
         self._random = rng
         self._fair = FairShare(places=places)
         self._pressure_by_group: dict[str, tuple[float, float]] = {}
-        self._window_by_group: dict[str, _LowestWait] = {}
 
     def admit(
         self,
@@ -137,8 +112,7 @@
         allowed = remaining
         if policy.mode == config.Mode.TAIL:
             allowed = min(remaining, policy.soft_deadline.total_seconds())
-        lasting = self._lasting(group.name, wait)
-        if self._random.random() < _refusal_share(lasting / allowed):
+        if self._random.random() < _refusal_share(wait / allowed):
             return _refuse(
                 base.ResultCode.OVERLOADED,
                 "the shards' queues are too long for the time left",
@@ -174,16 +148,6 @@
         self._pressure_by_group[group.name] = (now, worst)
         return worst
 
-    def _lasting(self, name: str, wait: float) -> float:
-        """Returns the shortest wait of the last 50 to 100 ms.
-
-        A single long queue that empties again says nothing of overload.
-        """
-        window = self._window_by_group.get(name)
-        if window is None:
-            window = self._window_by_group[name] = _LowestWait()
-        return window.add(self._clock.monotonic(), wait)
-
     def _reported_wait(self, block_id: str, now: float) -> float:
         """Returns what a block's gatherer last said, fading with its age."""
         wait, at = self._board.queries.wait_by_block.get(block_id, (0.0, 0.0))
