--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -6,13 +6,13 @@
 from twisted.internet import defer
 
 from standins import platform_model
-from trefoilpier import base, platform
+from trefoilpier import base, metadata
 
 _STORE_DELAY_S = 0.002
 _STORE_TIMEOUT_S = 3.0
 
 
-class MemoryStore(platform.Store):
+class MemoryStore(metadata.Store):
     """A `platform_model.PlatformModel` after the delay of the network."""
 
     __slots__ = ("_clock", "_model")
@@ -109,13 +109,13 @@
         if down is not None:
             return down
         records = [
-            platform.VmRecord(
+            metadata.VmRecord(
                 id=row["id"],
                 host=row["host"],
                 port=row["port"],
                 region=row["region"],
                 zone=row["zone"],
-                state=platform.VmState(row["state"]),
+                state=metadata.VmState(row["state"]),
                 role=row["role"],
             )
             for row in self._model.members()
@@ -123,8 +123,8 @@
         return self._later(expression.Ok(records))
 
 
-def _entry(key: str, stored: platform_model.StoredValue) -> platform.Entry:
-    return platform.Entry(
+def _entry(key: str, stored: platform_model.StoredValue) -> metadata.Entry:
+    return metadata.Entry(
         key=key, value=stored.value.encode(), revision=stored.revision
     )
 
--- a/trefoilpier/base/events.py
+++ b/trefoilpier/base/events.py
@@ -12,12 +12,16 @@
     READY = ("TPE-1002", "INFO", "node ready")
     DRAIN_STARTED = ("TPE-1003", "INFO", "drain started")
     STOPPED = ("TPE-1004", "INFO", "node stopped")
+    SETTINGS_READ = ("TPE-1005", "INFO", "settings read")
     LOOP_STALLED = ("TPE-1006", "WARNING", "event loop stalled")
     QUERY_DECIDED = ("TPE-2001", "INFO", "query routed")
     QUERY_REFUSED = ("TPE-2002", "INFO", "query refused")
     SUBQUERY_DECIDED = ("TPE-2003", "INFO", "sub-query gathered")
     SNAPSHOT_RESTARTED = ("TPE-2004", "WARNING", "query restarted")
     PLACEMENT_CHANGED = ("TPE-2005", "INFO", "block placement changed")
+    REQUEST_ENDED = ("TPE-2006", "INFO", "request ended")
+    CALLER_LEFT = ("TPE-2007", "INFO", "caller left")
+    LEAF_CALL_LOST = ("TPE-2008", "INFO", "leaf call lost")
     LEAF_UP = ("TPE-3001", "INFO", "leaf up")
     LEAF_DOWN = ("TPE-3002", "WARNING", "leaf down")
     LEAF_DRAINING = ("TPE-3003", "INFO", "leaf draining")
@@ -29,6 +33,7 @@
     STORE_DOWN = ("TPE-4004", "WARNING", "store unavailable")
     STORE_UP = ("TPE-4005", "INFO", "store available")
     WATCHER_ROLE = ("TPE-4006", "INFO", "store watcher role changed")
+    ENTRY_MALFORMED = ("TPE-4007", "WARNING", "store entry cannot be read")
     NODE_JOINED = ("TPE-5001", "INFO", "node joined")
     NODE_SUSPECTED = ("TPE-5002", "WARNING", "node suspected")
     NODE_DEAD = ("TPE-5003", "WARNING", "node dead")
@@ -41,6 +46,7 @@
     CLAIM_UNSETTLED = ("TPE-6003", "WARNING", "claim outcome not recorded")
     CALLER_REJECTED = ("TPE-7001", "INFO", "caller input rejected")
     UNHANDLED = ("TPE-9001", "ERROR", "unhandled error")
+    LINES_DROPPED = ("TPE-9002", "WARNING", "lines dropped")
 
     @property
     def number(self) -> str:
--- a/trefoilpier/cli/common.py
+++ b/trefoilpier/cli/common.py
@@ -9,7 +9,7 @@
 from cleo.helpers import option
 from twisted.internet import defer, task
 
-from trefoilpier import base, platform
+from trefoilpier import base, metadata
 
 EXIT_OK = 0
 EXIT_USAGE = 2
@@ -64,12 +64,12 @@
         """Does the command's work; returns the exit status."""
         raise NotImplementedError
 
-    def store(self) -> platform.Store:
+    def store(self) -> metadata.Store:
         """Returns the platform's store named by ``--platform``."""
         from twisted.internet import reactor
 
         host, port = parse_address(self.option("platform"))
-        return platform.HttpStore(reactor=reactor, host=host, port=port)
+        return metadata.HttpStore(reactor=reactor, host=host, port=port)
 
     def clock(self) -> base.Clock:
         """Returns the clock."""
--- a/trefoilpier/cli/objects_commands.py
+++ b/trefoilpier/cli/objects_commands.py
@@ -5,7 +5,7 @@
 
 from cleo.helpers import argument, option
 
-from trefoilpier import config, platform
+from trefoilpier import config, metadata
 from trefoilpier.base import ResultCode
 from trefoilpier.cli import common
 from trefoilpier.config import publish
@@ -181,7 +181,7 @@
 }
 
 
-async def _read_published(store: platform.Store):  # noqa: ANN202
+async def _read_published(store: metadata.Store):  # noqa: ANN202
     """Reads the published manifest and its objects."""
     read = await publish.fetch_head(store)
     if read.is_error():
--- a/trefoilpier/cli/vm_commands.py
+++ b/trefoilpier/cli/vm_commands.py
@@ -10,7 +10,7 @@
 from twisted.internet import defer, error
 from twisted.web import client, http_headers
 
-from trefoilpier import base, platform
+from trefoilpier import base, metadata
 from trefoilpier.cli import common
 
 _ANSWER_TIMEOUT_S = 5.0
@@ -48,7 +48,7 @@
     agent = client.Agent(reactor, connectTimeout=1.0)
     producer = None
     if body is not None:
-        producer = platform.BytesProducer(body=body)
+        producer = metadata.BytesProducer(body=body)
     rows = {name: [text] for name, text in (headers or {}).items()}
     asking = agent.request(
         method.encode(),
@@ -72,7 +72,7 @@
 
 
 async def fetch_statuses(
-    store: platform.Store,
+    store: metadata.Store,
 ) -> expression.Result[list[VmStatus], base.Failure]:
     """Asks every entry VM on the membership list for its status."""
     listed = await store.members()
--- a/trefoilpier/config/publish.py
+++ b/trefoilpier/config/publish.py
@@ -12,7 +12,7 @@
 import expression
 import orjson
 
-from trefoilpier import base, platform
+from trefoilpier import base, metadata
 from trefoilpier.config import build, bundle, findings
 
 HEAD_KEY = "config/head"
@@ -88,7 +88,7 @@
 
 
 async def fetch_head(
-    store: platform.Store,
+    store: metadata.Store,
 ) -> expression.Result[tuple[Head, int], base.Failure]:
     """Reads the head and its revision."""
     answer = await store.get(HEAD_KEY)
@@ -98,7 +98,7 @@
 
 
 async def fetch_value(
-    store: platform.Store, address: str
+    store: metadata.Store, address: str
 ) -> expression.Result[bytes, base.Failure]:
     """Reads a content-addressed value and checks its address."""
     answer = await store.get(object_key(address))
@@ -116,7 +116,7 @@
 
 
 async def fetch_manifest(
-    store: platform.Store, address: str
+    store: metadata.Store, address: str
 ) -> expression.Result[bundle.Manifest, base.Failure]:
     """Reads a manifest."""
     answer = await fetch_value(store, address)
@@ -124,7 +124,7 @@
 
 
 async def fetch_bundle(
-    store: platform.Store,
+    store: metadata.Store,
     manifest: bundle.Manifest,
     known: dict[str, bytes],
 ) -> expression.Result[bundle.Bundle, base.Failure]:
@@ -146,7 +146,7 @@
 
     __slots__ = ("_clock", "_store")
 
-    def __init__(self, *, store: platform.Store, clock: base.Clock) -> None:
+    def __init__(self, *, store: metadata.Store, clock: base.Clock) -> None:
         self._store = store
         self._clock = clock
 
--- /dev/null
+++ b/trefoilpier/forward/__init__.py
@@ -0,0 +1,14 @@
+"""The life of a caller's request: admit, pin, send, gather, end once."""
+
+from trefoilpier.forward.budget import BudgetTerms, ExtraBudget
+from trefoilpier.forward.engine import ForwardEngine
+from trefoilpier.forward.wire import CallerAsk, LeafAnswer, LeafWire
+
+__all__ = [
+    "BudgetTerms",
+    "CallerAsk",
+    "ExtraBudget",
+    "ForwardEngine",
+    "LeafAnswer",
+    "LeafWire",
+]
--- /dev/null
+++ b/trefoilpier/http1/__init__.py
@@ -0,0 +1,41 @@
+"""HTTP/1.1 messages, the callers' side and one connection to a server."""
+
+from trefoilpier.http1.client import (
+    ClientConnection,
+    ConnectionEvents,
+    Exchanged,
+    Lost,
+)
+from trefoilpier.http1.message import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    encode_request,
+    encode_response,
+    end_to_end,
+    find_header,
+)
+from trefoilpier.http1.server import (
+    CallerLimits,
+    Exchange,
+    RequestHandler,
+    ServerFactory,
+)
+
+__all__ = [
+    "CallerLimits",
+    "ClientConnection",
+    "ConnectionEvents",
+    "Exchange",
+    "Exchanged",
+    "Headers",
+    "HttpRequest",
+    "HttpResponse",
+    "Lost",
+    "RequestHandler",
+    "ServerFactory",
+    "encode_request",
+    "encode_response",
+    "end_to_end",
+    "find_header",
+]
--- a/trefoilpier/membership/swim.py
+++ b/trefoilpier/membership/swim.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from trefoilpier import base, board, peer, platform
+from trefoilpier import base, board, metadata, peer
 from trefoilpier.membership import digest, news
 
 _HELPERS = 3
@@ -129,7 +129,7 @@
         for node_id in self._others():
             self._ping(node_id)
 
-    def meet(self, records: Iterable[platform.VmRecord]) -> None:
+    def meet(self, records: Iterable[metadata.VmRecord]) -> None:
         """Takes in the platform's membership list.
 
         A few VMs that are listed and not known live are probed, which also
@@ -137,7 +137,7 @@
         anyone live or dead by itself.
         """
         listed = set()
-        unknown: list[platform.VmRecord] = []
+        unknown: list[metadata.VmRecord] = []
         for record in records:
             listed.add(record.id)
             known = self._board.nodes.node_by_id.get(record.id)
@@ -145,7 +145,7 @@
                 continue
             if known is not None and known.state != board.NodeState.DEAD:
                 continue
-            if record.state == platform.VmState.LEAVING:
+            if record.state == metadata.VmState.LEAVING:
                 continue
             unknown.append(record)
         count = min(_MEET_MAX, len(unknown))
--- a/trefoilpier/platform/http_store.py
+++ b/trefoilpier/metadata/http_store.py
@@ -9,7 +9,7 @@
 from twisted.web import client, http_headers
 
 from trefoilpier import base
-from trefoilpier.platform import store
+from trefoilpier.metadata import store
 
 _CONNECT_TIMEOUT_S = 1.0
 _ANSWER_TIMEOUT_S = 3.0
--- a/trefoilpier/node/config_controller.py
+++ b/trefoilpier/node/config_controller.py
@@ -12,7 +12,7 @@
 import expression
 from twisted.internet import defer
 
-from trefoilpier import base, board, config, peer, platform
+from trefoilpier import base, board, config, metadata, peer
 from trefoilpier.config import publish
 
 _WATCHERS = 3
@@ -62,12 +62,12 @@
         clock: base.Clock,
         rng: random.Random,
         log: base.EventLog,
-        store: platform.Store,
+        store: metadata.Store,
         ask: Callable[..., None],
         next_id: Callable[[], str],
         send_notice: Callable[[str, peer.Message], None],
         on_in_force: Callable[[], None],
-        on_members: Callable[[list[platform.VmRecord]], None],
+        on_members: Callable[[list[metadata.VmRecord]], None],
     ) -> None:
         self._board = blackboard
         self._clock = clock
--- a/trefoilpier/node/main.py
+++ b/trefoilpier/node/main.py
@@ -17,8 +17,8 @@
     config,
     leaf,
     membership,
+    metadata,
     peer,
-    platform,
 )
 from trefoilpier.node import node, shutdown
 
@@ -75,7 +75,7 @@
                 reactor=reactor, clock=self._clock, rng=rng, log=self._log
             ),
             network=self._network,
-            store=platform.HttpStore(
+            store=metadata.HttpStore(
                 reactor=reactor,
                 host=settings.platform_host,
                 port=settings.platform_port,
--- a/trefoilpier/node/node.py
+++ b/trefoilpier/node/node.py
@@ -10,9 +10,9 @@
     leaf,
     limits,
     membership,
+    metadata,
     once,
     peer,
-    platform,
     query,
     routing,
 )
@@ -42,7 +42,7 @@
     log: base.EventLog
     leaves: leaf.LeafTransport
     network: peer.PeerNetwork
-    store: platform.Store
+    store: metadata.Store
     timing: membership.MembershipTiming
     queries_max: int
     seeds: tuple[peer.PeerAddress, ...] = ()
@@ -215,12 +215,12 @@
         self._leaves.stop()
         self._log.emit(base.Event.STOPPED, node=self.own.id)
 
-    def _take_members(self, records: list[platform.VmRecord]) -> None:
+    def _take_members(self, records: list[metadata.VmRecord]) -> None:
         """Sorts the platform's list into entry VMs and backend servers."""
         entry = [record for record in records if record.role == "entry"]
         self._membership.meet(entry)
         for record in records:
-            leaving = record.state == platform.VmState.LEAVING
+            leaving = record.state == metadata.VmState.LEAVING
             if record.role == "leaf" and leaving:
                 self._membership.leaf_leaving(record.id)
 
--- a/trefoilpier/once/claims.py
+++ b/trefoilpier/once/claims.py
@@ -13,7 +13,7 @@
 import expression
 from twisted.internet import defer
 
-from trefoilpier import base, platform
+from trefoilpier import base, metadata
 from trefoilpier.once import record
 
 _STORE_ATTEMPTS = 3
@@ -54,7 +54,7 @@
     def __init__(
         self,
         *,
-        store: platform.Store,
+        store: metadata.Store,
         clock: base.Clock,
         log: base.EventLog,
         next_id: Callable[[], str],
--- a/trefoilpier/platform/__init__.py
+++ b/trefoilpier/platform/__init__.py
@@ -1,18 +1,29 @@
-"""The platform's key-value store and membership list."""
+"""The platform's store, settings and headers, translated into our types."""
 
-from trefoilpier.platform.http_store import BytesProducer, HttpStore
-from trefoilpier.platform.store import (
-    Entry,
-    Store,
-    VmRecord,
-    VmState,
+from trefoilpier.platform.boot import (
+    BOOT_VARIABLE,
+    BootSettings,
+    parse_boot,
+    read_boot,
 )
+from trefoilpier.platform.entries import (
+    LEAF_PREFIX,
+    ROUTES_KEY,
+    decode_leaf,
+    decode_routes,
+)
+from trefoilpier.platform.headers import PlatformWire
+from trefoilpier.platform.kv import PlatformStore
 
 __all__ = [
-    "BytesProducer",
-    "Entry",
-    "HttpStore",
-    "Store",
-    "VmRecord",
-    "VmState",
+    "BOOT_VARIABLE",
+    "LEAF_PREFIX",
+    "ROUTES_KEY",
+    "BootSettings",
+    "PlatformStore",
+    "PlatformWire",
+    "decode_leaf",
+    "decode_routes",
+    "parse_boot",
+    "read_boot",
 ]
--- /dev/null
+++ b/trefoilpier/replicas/__init__.py
@@ -0,0 +1,20 @@
+"""The leafs of each service: who they are, how they fare, connections."""
+
+from trefoilpier.replicas.choice import LeafChooser
+from trefoilpier.replicas.entry import LeafEntry, LeafPhase
+from trefoilpier.replicas.pool import CallEnd, CallResult, LeafCall, LeafPool
+from trefoilpier.replicas.registry import LeafRegistry
+from trefoilpier.replicas.state import LeafLoad, LeafStats
+
+__all__ = [
+    "CallEnd",
+    "CallResult",
+    "LeafCall",
+    "LeafChooser",
+    "LeafEntry",
+    "LeafLoad",
+    "LeafPhase",
+    "LeafPool",
+    "LeafRegistry",
+    "LeafStats",
+]
--- /dev/null
+++ b/trefoilpier/tier/__init__.py
@@ -0,0 +1,1 @@
+"""One process of the tier on the users' platform."""
--- /dev/null
+++ b/trefoilpier/tier/store_sync.py
@@ -0,0 +1,174 @@
+"""Keeps what the store holds on the blackboard: routes and leafs."""
+
+import random
+from collections.abc import Callable
+
+from twisted.internet import defer
+
+from trefoilpier import base, platform, replicas, routes, store
+
+_WATCH_S = 20.0  # Each return of a watch is a call that is paid for.
+_RETRY_FIRST_S = 0.1  # First pause after a failed call.
+_RETRY_MAX_S = 1.0  # Well within the time in which changes must be in force.
+_LOGGED_KEYS_MAX = 200  # Bound on remembered malformed entries.
+
+
+class StoreSync:
+    """Reads everything once, then follows the changes.
+
+    Attributes:
+        loaded: Whether a whole read has succeeded since the start.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_log",
+        "_lost",
+        "_malformed",
+        "_on_table",
+        "_pause_s",
+        "_registry",
+        "_rng",
+        "_store",
+        "_table",
+        "loaded",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: base.Clock,
+        log: base.EventLog,
+        rng: random.Random,
+        store_client: store.KeyValueStore,
+        registry: replicas.LeafRegistry,
+        on_table: Callable[[routes.RouteTable], None],
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._rng = rng
+        self._store = store_client
+        self._registry = registry
+        self._on_table = on_table
+        self._table: routes.RouteTable | None = None
+        self._malformed: dict[str, int] = {}
+        self._lost = False
+        self._pause_s = _RETRY_FIRST_S
+        self.loaded = False
+
+    def start(self) -> None:
+        """Starts to follow the store, for as long as the process runs."""
+        defer.ensureDeferred(self._run()).addErrback(self._crashed)
+
+    def _crashed(self, failure: object) -> None:
+        self._log.emit(base.Event.UNHANDLED, problem=str(failure))
+        self._clock.call_later(_RETRY_MAX_S, self.start)
+
+    async def _run(self) -> None:
+        while True:
+            revision = await self._load()
+            while revision:
+                revision = await self._follow(revision)
+
+    async def _load(self) -> int:
+        """Reads all; returns the revision to follow from, 0 on failure."""
+        read = await self._store.read_all("")
+        if read.is_error():
+            await self._failed(read.error)
+            return 0
+        self._answered()
+        snapshot = read.ok
+        leafs = []
+        for item in snapshot.items:
+            if item.key == platform.ROUTES_KEY:
+                self._take_routes(item)
+            elif item.key.startswith(platform.LEAF_PREFIX):
+                leafs += self._read_leaf(item)
+        self._registry.replace_all(leafs)
+        self.loaded = True
+        return snapshot.revision
+
+    async def _follow(self, revision: int) -> int:
+        """Waits for changes; returns 0 when everything must be read again."""
+        seen = await self._store.watch("", after=revision, wait_s=_WATCH_S)
+        if seen.is_error():
+            self._log.emit(
+                base.Event.STORE_DOWN, problem=seen.error.detail, call="watch"
+            )
+            return 0
+        self._answered()
+        if seen.ok.history_gone:
+            return 0
+        self._take_changes(seen.ok.changes)
+        return seen.ok.revision
+
+    def _take_changes(self, changes: list[store.Change]) -> None:
+        gone = []
+        for change in changes:
+            if change.key == platform.ROUTES_KEY and change.item is not None:
+                self._take_routes(change.item)
+            elif not change.key.startswith(platform.LEAF_PREFIX):
+                continue
+            elif change.item is None:
+                gone.append(change.key.removeprefix(platform.LEAF_PREFIX))
+            else:
+                for entry in self._read_leaf(change.item):
+                    self._registry.put(entry)
+        self._registry.gone_together(gone)
+
+    def _take_routes(self, item: store.Item) -> None:
+        decoded = platform.decode_routes(item.value)
+        if decoded.is_error():
+            self._log.emit(
+                base.Event.CONFIG_REJECTED,
+                revision=item.revision,
+                problem=decoded.error,
+            )
+            return
+        table = decoded.ok
+        if self._table is not None and table.version <= self._table.version:
+            return
+        self._table = table
+        self._log.emit(
+            base.Event.CONFIG_IN_FORCE,
+            version=table.version,
+            revision=item.revision,
+            routes=len(table.routes),
+        )
+        self._on_table(table)
+
+    def _read_leaf(self, item: store.Item) -> list[replicas.LeafEntry]:
+        decoded = platform.decode_leaf(item.key, item.value)
+        if decoded.is_ok():
+            return [decoded.ok]
+        if item.key not in self._malformed:
+            if len(self._malformed) >= _LOGGED_KEYS_MAX:
+                self._malformed.clear()
+            self._malformed[item.key] = item.revision
+            self._log.emit(
+                base.Event.ENTRY_MALFORMED,
+                key=item.key,
+                revision=item.revision,
+                problem=decoded.error,
+            )
+        return []
+
+    def _answered(self) -> None:
+        self._pause_s = _RETRY_FIRST_S
+        if self._lost:
+            self._lost = False
+            self._registry.store_back()
+            self._log.emit(base.Event.STORE_UP)
+
+    async def _failed(self, failure: base.Failure) -> None:
+        if not self._lost:
+            self._lost = True
+            self._registry.store_lost()
+        self._log.emit(
+            base.Event.STORE_DOWN, problem=failure.detail, call="read"
+        )
+        waited: defer.Deferred[None] = defer.Deferred()
+        pause_s = self._pause_s * self._rng.uniform(0.7, 1.3)
+        self._clock.call_later(pause_s, waited.callback, None)
+        self._pause_s = min(_RETRY_MAX_S, 2 * self._pause_s)
+        await waited
