Signals: install handlers once the reactor runs

Ruled out: the grace period (the process ended within milliseconds). Change: handlers are installed by callWhenRunning.

--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -117,6 +117,10 @@
         self._log.emit(base.Event.STARTED, node=boot.node_id, zone=boot.zone)
         self._sync.start()
         self._warm()
+        # The reactor installs handlers of its own when it starts to run.
+        reactor.callWhenRunning(self._install_signals)
+
+    def _install_signals(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._signalled)
         signal.signal(signal.SIGHUP, self._hung_up)
