--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -7,7 +7,13 @@
 
 from trefoilpier import base, platform, replicas, routes, store
 
-_WATCH_S = 20.0  # Each return of a watch is a call that is paid for.
+_WATCH_S = 15.0  # Each return of a watch is a call that is paid for.
+# A watch that was placed while the store dropped its history may stay deaf:
+# for a while after a disturbance, watches end well within the time in which
+# changes must be in force.
+_CAREFUL_WATCH_S = 1.0
+_CAREFUL_FOR_S = 10.0
+_GATHER_CHANGES_S = 0.5  # Changes that come in a row are fetched together.
 _RETRY_FIRST_S = 0.1  # First pause after a failed call.
 _RETRY_MAX_S = 1.0  # Well within the time in which changes must be in force.
 _LOGGED_KEYS_MAX = 200  # Bound on remembered malformed entries.
@@ -21,6 +27,7 @@
     """
 
     __slots__ = (
+        "_careful_until",
         "_clock",
         "_log",
         "_lost",
@@ -53,6 +60,7 @@
         self._table: routes.RouteTable | None = None
         self._malformed: dict[str, int] = {}
         self._lost = False
+        self._careful_until = 0.0
         self._pause_s = _RETRY_FIRST_S
         self.loaded = False
 
@@ -72,6 +80,7 @@
 
     async def _load(self) -> int:
         """Reads all; returns the revision to follow from, 0 on failure."""
+        self._careful_until = self._clock.monotonic() + _CAREFUL_FOR_S
         read = await self._store.read_all("")
         if read.is_error():
             await self._failed(read.error)
@@ -90,7 +99,9 @@
 
     async def _follow(self, revision: int) -> int:
         """Waits for changes; returns 0 when everything must be read again."""
-        seen = await self._store.watch("", after=revision, wait_s=_WATCH_S)
+        now = self._clock.monotonic()
+        wait_s = _CAREFUL_WATCH_S if now < self._careful_until else _WATCH_S
+        seen = await self._store.watch("", after=revision, wait_s=wait_s)
         if seen.is_error():
             self._log.emit(
                 base.Event.STORE_DOWN, problem=seen.error.detail, call="watch"
@@ -100,6 +111,8 @@
         if seen.ok.history_gone:
             return 0
         self._take_changes(seen.ok.changes)
+        if seen.ok.changes:
+            await self._sleep(_GATHER_CHANGES_S)
         return seen.ok.revision
 
     def _take_changes(self, changes: list[store.Change]) -> None:
@@ -107,13 +120,17 @@
         for change in changes:
             if change.key == platform.ROUTES_KEY and change.item is not None:
                 self._take_routes(change.item)
-            elif not change.key.startswith(platform.LEAF_PREFIX):
+            if not change.key.startswith(platform.LEAF_PREFIX):
                 continue
-            elif change.item is None:
-                gone.append(change.key.removeprefix(platform.LEAF_PREFIX))
+            leaf_id = change.key.removeprefix(platform.LEAF_PREFIX)
+            if change.item is None:
+                gone.append(leaf_id)
             else:
-                for entry in self._read_leaf(change.item):
+                entries = self._read_leaf(change.item)
+                for entry in entries:
                     self._registry.put(entry)
+                if not entries:
+                    gone.append(leaf_id)
         self._registry.gone_together(gone)
 
     def _take_routes(self, item: store.Item) -> None:
@@ -167,8 +184,11 @@
         self._log.emit(
             base.Event.STORE_DOWN, problem=failure.detail, call="read"
         )
-        waited: defer.Deferred[None] = defer.Deferred()
         pause_s = self._pause_s * self._rng.uniform(0.7, 1.3)
-        self._clock.call_later(pause_s, waited.callback, None)
         self._pause_s = min(_RETRY_MAX_S, 2 * self._pause_s)
-        await waited
+        await self._sleep(pause_s)
+
+    def _sleep(self, seconds: float) -> "defer.Deferred[None]":
+        waited: defer.Deferred[None] = defer.Deferred()
+        self._clock.call_later(seconds, waited.callback, None)
+        return waited
