Sheds count against a leaf and leave the attempts; watches end within the bound

Change 1: a shed lowers the leaf's success rate, does not count as a leaf that ran the request, and hedges leave 40 % of the budget to failures. Change 2: watches last 4 s, their answer 1 s more.

--- a/trefoilpier/forward/budget.py
+++ b/trefoilpier/forward/budget.py
@@ -64,11 +64,15 @@
         self._row()[1] += 1
         self._first += 1
 
-    def take(self) -> bool:
-        """Counts an extra send if it is allowed."""
+    def take(self, *, reserve: float = 0.0) -> bool:
+        """Counts an extra send if it is allowed.
+
+        Args:
+            reserve: Share of the budget that is left for others.
+        """
         row = self._row()
         allowed = _SAFETY * (self._share * self._first + self.allowance)
-        if self._extra + 1 > allowed:
+        if self._extra + 1 > allowed * (1.0 - reserve):
             return False
         row[2] += 1
         self._extra += 1
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -16,6 +16,10 @@
     0.3  # A call may end by itself; leafs must stop within half a second.
 )
 _STATUS_FAILED_LEAST = 500
+# Leafs that may refuse one request unprocessed: one for each usual replica.
+_NOT_RUN_MAX = 3
+# A request that has failed needs its second send; a late one may yet answer.
+_HEDGE_RESERVE = 0.4
 
 
 @dataclass(slots=True, kw_only=True)
@@ -74,6 +78,7 @@
         "_engine",
         "_failure",
         "_hedge_timer",
+        "_not_run",
         "_on_done",
         "_reason",
         "_sends",
@@ -101,6 +106,7 @@
         ] = {}
         self._tried: set[str] = set()
         self._sends = 0
+        self._not_run = 0
         self._connect_tries = 0
         self._failure: tuple[wires.LeafAnswer, str] | None = None
         self._hedge_timer: base.Timer | None = None
@@ -210,11 +216,14 @@
         chosen = self._choose()
         if chosen is None:
             return
-        if self._engine.budget(self._service).take():
+        budget = self._engine.budget(self._service)
+        if budget.take(reserve=_HEDGE_RESERVE):
             self._send(chosen)
 
     def _may_send_again(self) -> bool:
-        return self._sends + self._pending() < self._spec.route.attempts_max
+        """Whether one more leaf may run the request."""
+        runs = self._sends - self._not_run + self._pending()
+        return runs < self._spec.route.attempts_max
 
     def _pending(self) -> int:
         """Calls that wait for a connection."""
@@ -296,9 +305,11 @@
         self._send_or_wait()
 
     def _after_not_run(self) -> None:
+        self._not_run += 1
         if self._done or self._call_by_leaf:
             return
-        if self._may_send_again() and self._engine.budget(self._service).take():
+        again = self._not_run < _NOT_RUN_MAX and self._may_send_again()
+        if again and self._engine.budget(self._service).take():
             self._send_or_wait()
             return
         self._give_up(self._reason)
--- a/trefoilpier/platform/kv.py
+++ b/trefoilpier/platform/kv.py
@@ -14,6 +14,7 @@
 
 _CONNECT_TIMEOUT_S = 1.0  # A healthy store accepts within milliseconds.
 _ANSWER_TIMEOUT_S = 2.0  # The store answers within milliseconds.
+_WATCH_OVER_S = 1.0  # Beyond its own wait, a watch answers like any call.
 # Keep-alive probes find a connection that has gone silent within about 3 s.
 _KEEP_IDLE_S = 1
 _KEEP_INTERVAL_S = 1
@@ -241,7 +242,7 @@
             await self._ask(
                 "GET",
                 "/kv-watch?" + urllib.parse.urlencode(query),
-                timeout_s=wait_s + _ANSWER_TIMEOUT_S,
+                timeout_s=wait_s + _WATCH_OVER_S,
             ),
             _STATUS_OK,
             _STATUS_GONE,
--- a/trefoilpier/replicas/state.py
+++ b/trefoilpier/replicas/state.py
@@ -122,7 +122,16 @@
         self.failed(now)
 
     def shed(self, now: float) -> None:
-        """Takes a request that the leaf rejected unprocessed."""
+        """Takes a request that the leaf rejected unprocessed.
+
+        It counts against the leaf like a failure: whether the leaf is full
+        or sheds without need, the next request fares better elsewhere.
+        """
+        relative = self._faded(self._relative, now)
+        success = self._faded(self._success, now)
+        self._relative = relative
+        self._success = success - _GAIN * success
+        self._relative_at = now
         self._shed_until = now + _SHED_PAUSE_S
 
     def reported(self, load: LeafLoad, now: float) -> None:
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -7,12 +7,13 @@
 
 from trefoilpier import base, platform, replicas, routes, store
 
-_WATCH_S = 15.0  # Each return of a watch is a call that is paid for.
-# A watch that was placed while the store dropped its history may stay deaf:
-# for a while after a disturbance, watches end well within the time in which
-# changes must be in force.
+# A watch that the store swallowed, or that was placed while it dropped its
+# history, stays deaf. Its whole time and that of its answer must pass within
+# the store's recovery (4 s) and the time to put changes in force (3 s).
+_WATCH_S = 4.0
+# After a disturbance such a watch is likely.
 _CAREFUL_WATCH_S = 1.0
-_CAREFUL_FOR_S = 10.0
+_CAREFUL_FOR_S = 5.0
 _GATHER_CHANGES_S = 0.5  # Changes that come in a row are fetched together.
 _RETRY_FIRST_S = 0.1  # First pause after a failed call.
 _RETRY_MAX_S = 1.0  # Well within the time in which changes must be in force.
