--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -15,6 +15,9 @@
 )
 from trefoilpier.forward import wire as wires
 
+# A VM that has just started has its routes within about this time.
+_START_RETRY_S = 0.1
+
 
 class ForwardEngine(http1.RequestHandler):
     """The controller of all requests of one VM.
@@ -129,7 +132,12 @@
         ask = self.wire.read_ask(request)
         table = self.table
         if table is None:
-            self._refuse(exchange, ask, base.ResultCode.NO_CONFIGURATION, 0.5)
+            self._refuse(
+                exchange,
+                ask,
+                base.ResultCode.NO_CONFIGURATION,
+                _START_RETRY_S,
+            )
             return
         host = http1.find_header(request.headers, b"host") or b""
         path = request.target.partition(b"?")[0]
--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -114,7 +114,11 @@
                 )
             )
         self._listen_metrics(page_factory)
-        self._log.emit(base.Event.STARTED, node=boot.node_id, zone=boot.zone)
+        self._log.emit(
+            base.Event.STARTED,
+            node=boot.node_id,
+            zone=boot.zone,
+        )
         self._sync.start()
         self._warm()
         # The reactor installs handlers of its own when it starts to run.
