Large VMs gather, small ones relay whole requests to them

Change: VMs with a core and 40 Mbit/s register in the store under a lease and gather; the others read that list, listen to the state of two near gatherers (held pages, one a second) and relay requests to them once, with the least version that must be in force there. The relay is the forward engine with gatherers as its leafs. A VM without a gatherer for 1.5 s asks by itself. Connections and extra sends are shared by the VMs that gather.

--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -1,7 +1,5 @@
 """Takes callers' requests through their whole life."""
 
-import random
-
 from trefoilpier import base, http1, replicas, routes
 from trefoilpier.forward import (
     admission,
@@ -29,6 +27,8 @@
         chooser: Chooses between them.
         wire: Reads and writes headers.
         in_flight: Requests that have no response yet.
+        draining: Whether the VM is shutting down.
+        vm_count: VMs that share each service's allowance.
         count_by_outcome: Responses so far, by result code.
     """
 
@@ -55,7 +55,6 @@
         *,
         clock: base.Clock,
         log: base.EventLog,
-        rng: random.Random,
         wire: wires.LeafWire,
         chooser: replicas.LeafChooser,
         budget_terms: budget.BudgetTerms,
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -15,7 +15,6 @@
 _LINGER_S = (
     0.3  # A call may end by itself; leafs must stop within half a second.
 )
-_STATUS_FAILED_LEAST = 500
 # Leafs that may refuse one request unprocessed: one for each usual replica.
 _NOT_RUN_MAX = 3
 # A request that has failed needs its second send; a late one may yet answer.
@@ -279,8 +278,7 @@
             self._after_not_run()
             return
         self.ran = base.Ran.YES
-        failed = answer.response.status >= _STATUS_FAILED_LEAST
-        if answer.seal is None or failed:
+        if answer.failed:
             pool.stats.failed(now)
             self._reason = f"leaf failed with {answer.response.status}"
             if answer.seal is not None:
--- a/trefoilpier/forward/wire.py
+++ b/trefoilpier/forward/wire.py
@@ -28,6 +28,7 @@
         seal: The leaf's signature of this response, if it bears one.
         not_run: Whether the leaf states that it did not run the request.
         wrong_leaf: Whether another leaf has the address.
+        failed: Whether another leaf may do better.
         load: The leaf's load, if it reports one.
     """
 
@@ -35,6 +36,7 @@
     seal: bytes | None
     not_run: bool
     wrong_leaf: bool
+    failed: bool
     load: replicas.LeafLoad | None
 
     @property
--- a/trefoilpier/http1/__init__.py
+++ b/trefoilpier/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages, the callers' side and one connection to a server."""
 
+from trefoilpier.http1.asker import Asker
 from trefoilpier.http1.client import (
     ClientConnection,
     ConnectionEvents,
@@ -23,6 +24,7 @@
 )
 
 __all__ = [
+    "Asker",
     "CallerLimits",
     "ClientConnection",
     "ConnectionEvents",
--- a/trefoilpier/http1/client.py
+++ b/trefoilpier/http1/client.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection to a server, one request at a time."""
 
 import abc
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -13,6 +14,13 @@
 
 _BODY_BYTES_MAX = 16 * 1024 * 1024  # Far above any answer; bounds memory.
 _HEADER_BYTES_MAX = 64 * 1024  # Far above any answer; bounds memory.
+# A connection that has gone silent, or whose other end has lost its power,
+# shows only by probes: one a second while idle, and a bound on data that the
+# other end does not acknowledge.
+_KEEP_IDLE_S = 1
+_KEEP_INTERVAL_S = 1
+_KEEP_COUNT = 2
+_UNACKNOWLEDGED_MS = 1500  # Bears two losses in a row on a lossy link.
 _STATUS_FINAL_LEAST = 200
 _BODILESS = frozenset((204, 304))
 
@@ -26,9 +34,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class Lost:
-    """No whole response came; the request may have run."""
+    """No whole response came; a request that was sent may have run."""
 
     reason: str
+    sent: bool = True
 
 
 OnEnd = Callable[[Exchanged | Lost], None]
@@ -102,11 +111,25 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Reports the open connection."""
         self.transport.setTcpNoDelay(True)
+        self._probe_when_silent()
         self._parser = httptools.HttpResponseParser(self)
         self.open = True
         self.idle_since = self._clock.monotonic()
         self._events.opened(self)
 
+    def _probe_when_silent(self) -> None:
+        handle = self.transport.getHandle()
+        if not isinstance(handle, socket.socket):
+            return  # A transport of a test.
+        self.transport.setTcpKeepAlive(True)
+        for option, value in (
+            (socket.TCP_KEEPIDLE, _KEEP_IDLE_S),
+            (socket.TCP_KEEPINTVL, _KEEP_INTERVAL_S),
+            (socket.TCP_KEEPCNT, _KEEP_COUNT),
+            (socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS),
+        ):
+            handle.setsockopt(socket.IPPROTO_TCP, option, value)
+
     def send(
         self, data: bytes, *, method: bytes, own_id: bytes, on_end: OnEnd
     ) -> None:
--- a/trefoilpier/platform/__init__.py
+++ b/trefoilpier/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from trefoilpier.platform.boot import (
     BOOT_VARIABLE,
+    Address,
     BootSettings,
     parse_boot,
     read_boot,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "BOOT_VARIABLE",
+    "Address",
     "LEAF_PREFIX",
     "ROUTES_KEY",
     "BootSettings",
--- a/trefoilpier/platform/boot.py
+++ b/trefoilpier/platform/boot.py
@@ -34,7 +34,8 @@
         drain_s: Time within which a leaving leaf gets no new requests.
         grace_s: Time from SIGTERM to SIGKILL.
         lease_least_s: Shortest lease that the store grants.
-        core_share: Processor cores that this VM may use.
+        cores: Processor cores that this VM may use, in usual cores.
+        link_mbps: What its network link carries.
     """
 
     node_id: str
@@ -47,7 +48,8 @@
     drain_s: float
     grace_s: float
     lease_least_s: float
-    core_share: float
+    cores: float
+    link_mbps: float
 
 
 def read_boot(path: str) -> expression.Result[BootSettings, list[str]]:
@@ -86,8 +88,9 @@
         drain_s=reader.number("bounds.drain-ms") / 1000,
         grace_s=reader.number("bounds.grace-s"),
         lease_least_s=reader.number("platform.ttl-min-ms") / 1000,
-        core_share=reader.number("limits.cpu-share")
-        * reader.number("limits.cores"),
+        # A share of one core that is so many times as fast as usual.
+        cores=reader.number("limits.cpu-share") * reader.number("limits.cores"),
+        link_mbps=reader.number("limits.link-mbps"),
     )
     if reader.findings:
         return expression.Error(reader.findings)
--- a/trefoilpier/platform/headers.py
+++ b/trefoilpier/platform/headers.py
@@ -11,6 +11,7 @@
 _PARTS = b"x-part-stamps"
 _MISSING = b"x-missing-parts"
 _STATUS_WRONG_LEAF = 421
+_STATUS_FAILED_LEAST = 500
 _NOT_RUN_STATUS = frozenset((400, 421, 429, 503))
 # Headers that the tier sets itself toward a leaf.
 _SET_HERE = frozenset((_DEADLINE, _EXPECTED_LEAF, b"expect"))
@@ -81,6 +82,7 @@
             seal=seal,
             not_run=stated and response.status in _NOT_RUN_STATUS,
             wrong_leaf=wrong_leaf,
+            failed=seal is None or response.status >= _STATUS_FAILED_LEAST,
             load=_read_load(http1.find_header(response.headers, _LOAD)),
         )
 
--- a/trefoilpier/replicas/__init__.py
+++ b/trefoilpier/replicas/__init__.py
@@ -2,7 +2,13 @@
 
 from trefoilpier.replicas.choice import LeafChooser
 from trefoilpier.replicas.entry import LeafEntry, LeafPhase
-from trefoilpier.replicas.pool import CallEnd, CallResult, LeafCall, LeafPool
+from trefoilpier.replicas.pool import (
+    CallEnd,
+    CallResult,
+    LeafCall,
+    LeafPool,
+    ReusePolicy,
+)
 from trefoilpier.replicas.registry import LeafRegistry
 from trefoilpier.replicas.state import LeafLoad, LeafStats
 
@@ -17,4 +23,5 @@
     "LeafPool",
     "LeafRegistry",
     "LeafStats",
+    "ReusePolicy",
 ]
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -14,12 +14,25 @@
 # The leaf accepts a connection once a slot is free for its handshake.
 _CONNECT_TIMEOUT_S = 0.4
 _REUSE_MARGIN_S = 0.3  # A server's idle timer may run ahead of ours.
-_REUSE_DEFAULT_S = 4.0  # Idle time when the leaf states no timeout.
-_FRESH_S = 0.5  # Idle time up to which a call that must not repeat may reuse.
+_REUSE_LEAF_S = 4.0  # Idle time when the leaf states no timeout.
+_FRESH_LEAF_S = 0.5  # Leafs may drop an idle connection without notice.
 _OVERDUE_FACTOR = 3.0  # Few calls take so many times the usual time.
 _WARM_RETRY_S = 1.0  # Between two attempts to open an idle connection.
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ReusePolicy:
+    """How long a connection may have been idle when it is used again.
+
+    Attributes:
+        idle_s: For a call that may be repeated.
+        fresh_s: For one that may not, which a reset would leave in doubt.
+    """
+
+    idle_s: float = _REUSE_LEAF_S
+    fresh_s: float = _FRESH_LEAF_S
+
+
 class CallEnd(enum.Enum):
     """How a call to a leaf ended."""
 
@@ -132,6 +145,7 @@
         "_on_room",
         "_opening",
         "_reactor",
+        "_reuse",
         "_warm_at",
         "_wanted",
         "connections_max",
@@ -149,7 +163,9 @@
         reactor: Any,
         id_header: bytes,
         on_room: Callable[["LeafPool"], None],
+        reuse: ReusePolicy | None = None,
     ) -> None:
+        self._reuse = reuse or ReusePolicy()
         self.entry = entry
         self.connections_max = connections_max
         self.leaving = False
@@ -222,10 +238,10 @@
             idle_s = now - connection.idle_since
             usable = (
                 now < connection.reuse_until - _REUSE_MARGIN_S
-                and idle_s < _REUSE_DEFAULT_S
+                and idle_s < self._reuse.idle_s
             )
             if not call.repeatable and connection.sent_count:
-                usable = usable and idle_s < _FRESH_S
+                usable = usable and idle_s < self._reuse.fresh_s
             if usable:
                 return connection
             connection.abort()
@@ -344,6 +360,11 @@
         for connection in idle:
             connection.abort()
 
+    def fail_all(self) -> None:
+        """Closes every connection; calls that are out end as lost."""
+        for connection in list(self._connections):
+            connection.abort()
+
     def rejoin(self) -> None:
         """Takes new calls again."""
         self.leaving = False
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -19,6 +19,7 @@
 _LAPSE_SHARE = 0.25
 # VMs that share a leaf's connections until the fleet's size is known.
 _VMS_ASSUMED = 12
+_VMS_SPARE = 2  # VMs that may be replaced at one time.
 
 
 class LeafRegistry:
@@ -38,6 +39,7 @@
         "_log",
         "_on_room",
         "_reactor",
+        "_reuse",
         "_vm_count",
         "pool_by_id",
         "pools_by_service",
@@ -51,7 +53,9 @@
         reactor: Any,
         id_header: bytes,
         on_room: Callable[[pool.LeafPool], None],
+        reuse: pool.ReusePolicy | None = None,
     ) -> None:
+        self._reuse = reuse
         self._clock = clock
         self._log = log
         self._reactor = reactor
@@ -70,6 +74,13 @@
         for known in self.pool_by_id.values():
             known.connections_max = self._share(known.entry.service)
 
+    def set_vm_count(self, count: int) -> None:
+        """Takes the number of VMs that share each leaf's connections."""
+        # Room for the connections of VMs that are being replaced.
+        self._vm_count = count + _VMS_SPARE
+        for known in self.pool_by_id.values():
+            known.connections_max = self._share(known.entry.service)
+
     def _share(self, service: str) -> int:
         limit = self._connections_max_by_service.get(service, _VMS_ASSUMED)
         return max(1, limit // self._vm_count)
@@ -152,6 +163,7 @@
             reactor=self._reactor,
             id_header=self._id_header,
             on_room=self._on_room,
+            reuse=self._reuse,
         )
         self.pool_by_id[entry.id] = added
         self.pools_by_service.setdefault(entry.service, []).append(added)
--- a/trefoilpier/store/api.py
+++ b/trefoilpier/store/api.py
@@ -73,9 +73,15 @@
 
     @abc.abstractmethod
     def read_all(
-        self, prefix: str
+        self, prefix: str, *, may_be_old: bool = False
     ) -> "defer.Deferred[expression.Result[Snapshot, base.Failure]]":
-        """Reads every item below a prefix."""
+        """Reads every item below a prefix.
+
+        Args:
+            prefix: Start of the keys.
+            may_be_old: Whether an answer that is seconds old will do; such a
+                read costs less.
+        """
 
     @abc.abstractmethod
     def watch(
--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -9,8 +9,16 @@
 
 from twisted.internet import error, reactor
 
-from trefoilpier import base, forward, http1, platform, replicas
-from trefoilpier.tier import line_log, pages, store_sync
+from trefoilpier import (
+    base,
+    fleet,
+    forward,
+    http1,
+    platform,
+    replicas,
+    routes,
+)
+from trefoilpier.tier import front_door, line_log, pages, store_sync
 
 EXIT_OK = 0
 EXIT_SETTINGS = 3
@@ -22,6 +30,12 @@
 _BALANCER_LAG_S = 2.6
 _STOP_MARGIN_S = 0.6  # Left of the grace period for the last writes.
 _READY_WAIT_S = 1.5  # Longest wait for leafs once the routes are known.
+_SHRINK_S = 15.0  # Longer than entries of live VMs stay lapsed.
+_RELAY_CONNECTIONS = 512  # To one gatherer; one for each request in flight.
+# Gatherers keep idle connections for as long as callers may.
+_RELAY_REUSE = replicas.ReusePolicy(idle_s=10.0, fresh_s=10.0)
+# A request goes to a second gatherer only if the first has not run it.
+_RELAY_BUDGET = forward.BudgetTerms(share=1.0, window_s=10.0, allowance=200.0)
 
 
 class TierDaemon:
@@ -30,15 +44,20 @@
     __slots__ = (
         "_boot",
         "_clock",
+        "_directory",
+        "_door",
         "_engine",
+        "_leafs",
         "_log",
-        "_ports",
-        "_registry",
-        "_server",
+        "_presence",
+        "_relay",
+        "_rng",
+        "_servers",
+        "_state_pages",
         "_stopping",
         "_store",
         "_sync",
-        "_table_at",
+        "_vm_count",
     )
 
     def __init__(self, *, boot: platform.BootSettings) -> None:
@@ -47,121 +66,254 @@
         self._log = line_log.LineLog(
             clock=self._clock, descriptor=sys.stdout.fileno()
         )
-        rng = random.Random()
-        wire = platform.PlatformWire()
-        self._engine = forward.ForwardEngine(
-            clock=self._clock,
-            log=self._log,
-            rng=rng,
-            wire=wire,
-            chooser=replicas.LeafChooser(rng=rng, zone=boot.zone),
-            budget_terms=boot.budget,
-        )
-        self._registry = replicas.LeafRegistry(
-            clock=self._clock,
-            log=self._log,
-            reactor=reactor,
-            id_header=wire.id_header,
-            on_room=self._engine.room,
-        )
-        self._engine.registry = self._registry
+        self._rng = random.Random()
         self._store = platform.PlatformStore(
             reactor=reactor,
             clock=self._clock,
             host=boot.store.host,
             port=boot.store.port,
         )
+        self._directory = fleet.VmDirectory()
+        wire = platform.PlatformWire()
+        self._engine, self._leafs = self._make_engine(wire, boot.budget, None)
+        self._relay = self._make_relay(wire)
         self._sync = store_sync.StoreSync(
             clock=self._clock,
             log=self._log,
-            rng=rng,
+            rng=self._rng,
             store_client=self._store,
-            registry=self._registry,
+            registry=self._leafs,
+            directory=self._directory,
             on_table=self._take_table,
+            on_fleet=self._take_fleet,
+        )
+        self._presence: fleet.Presence | None = None
+        self._state_pages = fleet.StatePages(
+            clock=self._clock, make_state=self._state
         )
-        self._server = http1.ServerFactory(
+        self._door = front_door.FrontDoor(
             clock=self._clock,
-            handler=self._engine,
-            limits=http1.CallerLimits(),
+            engine=self._engine,
+            relay=self._relay,
+            gathers=self._gathers,
+            start_own=self._sync.start,
         )
-        self._ports: list[Any] = []
+        self._servers: list[http1.ServerFactory] = []
         self._stopping = False
-        self._table_at = 0.0
+        self._vm_count = 0
+
+    def _make_engine(
+        self,
+        wire: forward.LeafWire,
+        budget: forward.BudgetTerms,
+        reuse: replicas.ReusePolicy | None,
+    ) -> tuple[forward.ForwardEngine, replicas.LeafRegistry]:
+        engine = forward.ForwardEngine(
+            clock=self._clock,
+            log=self._log,
+            wire=wire,
+            chooser=replicas.LeafChooser(rng=self._rng, zone=self._boot.zone),
+            budget_terms=budget,
+        )
+        registry = replicas.LeafRegistry(
+            clock=self._clock,
+            log=self._log,
+            reactor=reactor,
+            id_header=wire.id_header,
+            on_room=engine.room,
+            reuse=reuse,
+        )
+        engine.registry = registry
+        return engine, registry
+
+    def _make_relay(self, wire: forward.LeafWire) -> front_door.Relay:
+        relay_wire = fleet.RelayWire(wire=wire)
+        engine, registry = self._make_engine(
+            relay_wire, _RELAY_BUDGET, _RELAY_REUSE
+        )
+        registry.set_connection_limits({fleet.GATHERERS: _RELAY_CONNECTIONS})
+        watch = fleet.GathererWatch(
+            clock=self._clock,
+            log=self._log,
+            rng=self._rng,
+            reactor=reactor,
+            store_client=self._store,
+            registry=registry,
+            own_id=self._boot.node_id,
+            zone=self._boot.zone,
+            on_state=self._take_state,
+        )
+        return front_door.Relay(engine=engine, wire=relay_wire, watch=watch)
 
     def start(self) -> None:
         """Listens and starts; raises ``CannotListenError``."""
         boot = self._boot
-        readiness = pages.PageServer(
-            page_by_path={
-                b"/ready": self._ready_page,
-                b"/metrics": self._metrics_page,
-            }
-        )
-        limits = http1.CallerLimits()
-        page_factory = http1.ServerFactory(
-            clock=self._clock, handler=readiness, limits=limits
-        )
-        for address, factory in (
-            (boot.callers, self._server),
-            (boot.readiness, page_factory),
-        ):
-            self._ports.append(
-                reactor.listenTCP(
-                    address.port,
-                    factory,
-                    backlog=_BACKLOG,
-                    interface=address.host,
-                )
-            )
-        self._listen_metrics(page_factory)
+        pages_by_path = {
+            b"/ready": self._ready_page,
+            b"/metrics": self._metrics_page,
+        }
+        page_server = pages.PageServer(page_by_path=pages_by_path)
+        self._listen(boot.callers, self._door)
+        self._listen(boot.readiness, page_server)
+        self._listen_metrics(page_server)
+        if self._can_gather():
+            self._start_gathering()
+        else:
+            self._door.start()
         self._log.emit(
             base.Event.STARTED,
             node=boot.node_id,
             zone=boot.zone,
+            gathers=self._gathers(),
         )
-        self._sync.start()
         self._warm()
         # The reactor installs handlers of its own when it starts to run.
         reactor.callWhenRunning(self._install_signals)
 
-    def _install_signals(self) -> None:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._signalled)
-        signal.signal(signal.SIGHUP, self._hung_up)
+    def _listen(
+        self, address: platform.Address, handler: http1.RequestHandler
+    ) -> None:
+        server = http1.ServerFactory(
+            clock=self._clock, handler=handler, limits=http1.CallerLimits()
+        )
+        reactor.listenTCP(
+            address.port, server, backlog=_BACKLOG, interface=address.host
+        )
+        self._servers.append(server)
 
-    def _listen_metrics(self, factory: Any) -> None:
+    def _listen_metrics(self, handler: http1.RequestHandler) -> None:
         """Listens for scrapes; serving callers does not depend on it."""
+        host = self._boot.callers.host
         try:
-            reactor.listenTCP(
-                _METRICS_PORT, factory, interface=self._boot.callers.host
+            self._listen(
+                platform.Address(host=host, port=_METRICS_PORT), handler
             )
         except error.CannotListenError as failed:
             self._log.emit(base.Event.UNHANDLED, problem=str(failed))
 
-    def _take_table(self, table: Any) -> None:
-        if self._engine.table is None:
-            self._table_at = self._clock.monotonic()
+    def _install_signals(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._signalled)
+        signal.signal(signal.SIGHUP, self._hung_up)
+
+    # Gathering.
+
+    def _can_gather(self) -> bool:
+        return fleet.can_gather(
+            cores=self._boot.cores, link_mbps=self._boot.link_mbps
+        )
+
+    def _gatherers(self) -> list[fleet.VmRecord]:
+        table = self._engine.table
+        limits = [
+            service.connections_max
+            for service in (table.service_by_name if table else {}).values()
+        ]
+        if not limits:
+            return list(self._directory.vm_by_id.values())
+        return self._directory.gatherers(fleet.gatherers_max(limits))
+
+    def _gathers(self) -> bool:
+        """Whether this VM serves its callers itself."""
+        own_id = self._boot.node_id
+        if not self._can_gather():
+            return False
+        if own_id not in self._directory.vm_by_id:
+            return True
+        return any(record.id == own_id for record in self._gatherers())
+
+    def _start_gathering(self) -> None:
+        boot = self._boot
+        relay_port, state_port = boot.inner_ports[0], boot.inner_ports[0] + 1
+        host = boot.callers.host
+        self._listen(
+            platform.Address(host=host, port=relay_port),
+            fleet.RelayDoor(engine=self._engine),
+        )
+        self._listen(
+            platform.Address(host=host, port=state_port), self._state_pages
+        )
+        started_ms = int(self._clock.utc_now().timestamp() * 1000)
+        self._presence = fleet.Presence(
+            clock=self._clock,
+            rng=self._rng,
+            store_client=self._store,
+            record=fleet.VmRecord(
+                id=boot.node_id,
+                zone=boot.zone,
+                host=host,
+                relay_port=relay_port,
+                state_port=state_port,
+                started_ms=started_ms,
+            ),
+            lease_least_s=boot.lease_least_s,
+        )
+        self._presence.start()
+        self._sync.start()
+
+    def _take_table(self, table: routes.RouteTable) -> None:
         self._engine.table = table
-        self._server.limits = table.limits
-        self._registry.set_connection_limits(
+        self._servers[0].limits = table.limits
+        self._leafs.set_connection_limits(
             {
                 service.name: service.connections_max
                 for service in table.service_by_name.values()
             }
         )
+        self._state_pages.changed()
+
+    def _take_fleet(self) -> None:
+        """Shares connections and budgets between the VMs that gather."""
+        self._state_pages.changed()
+        count = len(self._gatherers())
+        if count > self._vm_count:
+            self._set_vm_count()
+        elif count < self._vm_count:
+            # Entries may have lapsed while their VMs go on.
+            self._clock.call_later(_SHRINK_S, self._set_vm_count)
+        if not self._gathers():
+            self._door.start()
+
+    def _set_vm_count(self) -> None:
+        self._vm_count = max(1, len(self._gatherers()))
+        self._leafs.set_vm_count(self._vm_count)
+        self._engine.set_vm_count(self._vm_count)
+
+    def _state(self) -> fleet.FleetState:
+        table = self._engine.table
+        return fleet.FleetState(
+            version=table.version if table is not None else 0,
+            leaving=self._stopping,
+            limits=table.limits if table else http1.CallerLimits(),
+            generation=self._directory.generation,
+            vms=self._gatherers(),
+        )
+
+    def _take_state(self, state: fleet.FleetState) -> None:
+        """Takes what a gatherer tells this VM."""
+        self._relay.take_version(state.version)
+        if not self._gathers() and state.version >= self._relay.version:
+            self._servers[0].limits = state.limits
 
     def _warm(self) -> None:
-        self._registry.warm(list(self._registry.pools_by_service))
+        if self._sync.loaded and self._gathers():
+            self._leafs.warm(list(self._leafs.pools_by_service))
         self._clock.call_later(_WARM_S, self._warm)
 
+    # Pages.
+
     def ready(self) -> bool:
         """Tells whether the balancer should send callers here."""
+        if self._stopping:
+            return False
+        if self._door.relays:
+            return True
         table = self._engine.table
-        if table is None or self._stopping or not self._sync.loaded:
+        if table is None or not self._sync.loaded:
             return False
-        if self._clock.monotonic() - self._table_at > _READY_WAIT_S:
+        if self._clock.monotonic() - self._sync.loaded_at > _READY_WAIT_S:
             return True
-        pools = self._registry.pools_by_service
+        pools = self._leafs.pools_by_service
         return all(
             any(pool.connected for pool in pools.get(service, ()))
             for service in table.used_services
@@ -173,6 +325,8 @@
     def _metrics_page(self) -> http1.HttpResponse:
         return http1.HttpResponse(status=200)
 
+    # Signals.
+
     def _signalled(self, number: int, frame: Any) -> None:
         reactor.callFromThread(self._stop)
 
@@ -191,17 +345,26 @@
         if self._stopping:
             return
         self._stopping = True
-        self._server.closing = True
-        self._log.emit(
-            base.Event.DRAIN_STARTED, in_flight=self._engine.in_flight
-        )
+        self._engine.draining = True
+        for server in self._servers:
+            server.closing = True
+        self._state_pages.changed()
+        if self._presence is not None:
+            self._presence.stop()
+        self._log.emit(base.Event.DRAIN_STARTED, in_flight=self._in_flight())
         self._clock.call_later(_BALANCER_LAG_S, self._close_idle)
         self._clock.call_later(self._boot.grace_s - _STOP_MARGIN_S, self._exit)
 
+    def _in_flight(self) -> int:
+        return self._engine.in_flight + self._relay.engine.in_flight
+
     def _close_idle(self) -> None:
         """Ends connections without a request until none is left."""
-        self._server.close_idle()
-        if self._engine.in_flight or self._server.connections:
+        for server in self._servers:
+            server.close_idle()
+        if self._in_flight() or any(
+            server.connections for server in self._servers
+        ):
             self._clock.call_later(0.05, self._close_idle)
             return
         self._exit()
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -5,7 +5,7 @@
 
 from twisted.internet import defer
 
-from trefoilpier import base, platform, replicas, routes, store
+from trefoilpier import base, fleet, platform, replicas, routes, store
 
 # A watch that the store swallowed, or that was placed while it dropped its
 # history, stays deaf. Its whole time and that of its answer must pass within
@@ -25,21 +25,26 @@
 
     Attributes:
         loaded: Whether a whole read has succeeded since the start.
+        loaded_at: Monotonic instant of the first one.
     """
 
     __slots__ = (
         "_careful_until",
         "_clock",
+        "_directory",
         "_log",
         "_lost",
         "_malformed",
+        "_on_fleet",
         "_on_table",
         "_pause_s",
         "_registry",
         "_rng",
+        "_started",
         "_store",
         "_table",
         "loaded",
+        "loaded_at",
     )
 
     def __init__(
@@ -50,8 +55,12 @@
         rng: random.Random,
         store_client: store.KeyValueStore,
         registry: replicas.LeafRegistry,
+        directory: fleet.VmDirectory,
         on_table: Callable[[routes.RouteTable], None],
+        on_fleet: Callable[[], None],
     ) -> None:
+        self._directory = directory
+        self._on_fleet = on_fleet
         self._clock = clock
         self._log = log
         self._rng = rng
@@ -60,18 +69,28 @@
         self._on_table = on_table
         self._table: routes.RouteTable | None = None
         self._malformed: dict[str, int] = {}
+        self._started = False
         self._lost = False
         self._careful_until = 0.0
         self._pause_s = _RETRY_FIRST_S
         self.loaded = False
+        self.loaded_at = 0.0
 
     def start(self) -> None:
-        """Starts to follow the store, for as long as the process runs."""
+        """Starts to follow the store, for as long as the process runs.
+
+        Does nothing the second time.
+        """
+        if not self._started:
+            self._started = True
+            self._follow_on()
+
+    def _follow_on(self) -> None:
         defer.ensureDeferred(self._run()).addErrback(self._crashed)
 
     def _crashed(self, failure: object) -> None:
         self._log.emit(base.Event.UNHANDLED, problem=str(failure))
-        self._clock.call_later(_RETRY_MAX_S, self.start)
+        self._clock.call_later(_RETRY_MAX_S, self._follow_on)
 
     async def _run(self) -> None:
         while True:
@@ -89,13 +108,20 @@
         self._answered()
         snapshot = read.ok
         leafs = []
+        vms = []
         for item in snapshot.items:
             if item.key == platform.ROUTES_KEY:
                 self._take_routes(item)
             elif item.key.startswith(platform.LEAF_PREFIX):
                 leafs += self._read_leaf(item)
+            elif item.key.startswith(fleet.KEY_PREFIX):
+                vms += self._read_vm(item)
+        self._directory.replace_all(vms)
+        self._on_fleet()
         self._registry.replace_all(leafs)
-        self.loaded = True
+        if not self.loaded:
+            self.loaded = True
+            self.loaded_at = self._clock.monotonic()
         return snapshot.revision
 
     async def _follow(self, revision: int) -> int:
@@ -121,6 +147,8 @@
         for change in changes:
             if change.key == platform.ROUTES_KEY and change.item is not None:
                 self._take_routes(change.item)
+            if change.key.startswith(fleet.KEY_PREFIX):
+                self._take_vm(change)
             if not change.key.startswith(platform.LEAF_PREFIX):
                 continue
             leaf_id = change.key.removeprefix(platform.LEAF_PREFIX)
@@ -155,6 +183,24 @@
         )
         self._on_table(table)
 
+    def _take_vm(self, change: store.Change) -> None:
+        if change.item is None:
+            vm_id = change.key.removeprefix(fleet.KEY_PREFIX)
+            self._directory.gone(vm_id)
+        else:
+            for record in self._read_vm(change.item):
+                self._directory.put(record)
+        self._on_fleet()
+
+    def _read_vm(self, item: store.Item) -> list[fleet.VmRecord]:
+        decoded = fleet.decode_vm(item.value)
+        if decoded.is_ok():
+            return [decoded.ok]
+        self._log.emit(
+            base.Event.ENTRY_MALFORMED, key=item.key, problem=decoded.error
+        )
+        return []
+
     def _read_leaf(self, item: store.Item) -> list[replicas.LeafEntry]:
         decoded = platform.decode_leaf(item.key, item.value)
         if decoded.is_ok():
--- a/trefoilpier/tier/tests/test_store_sync.py
+++ b/trefoilpier/tier/tests/test_store_sync.py
@@ -6,7 +6,7 @@
 import pytest
 from twisted.internet import defer
 
-from trefoilpier import base, platform, replicas, store
+from trefoilpier import base, fleet, platform, replicas, store
 from trefoilpier.tier import store_sync
 
 ROUTES = b'{"version":%d,"routes":[],"services":[],"limits":{}}'  # One version.
@@ -30,7 +30,7 @@
             key=key, value=value, revision=self.revision
         )
 
-    def read_all(self, prefix):
+    def read_all(self, prefix, *, may_be_old=False):
         self.reads += 1
         if not self.up:
             return defer.succeed(failure())
@@ -116,7 +116,9 @@
             rng=random.Random(1),
             store_client=self.store,
             registry=self.registry,
+            directory=fleet.VmDirectory(),
             on_table=self.tables.append,
+            on_fleet=lambda: None,
         )
 
     def leaf_ids(self):
