VMs that gather hear each other's state, and lend routes and leafs

Ruled out: the least version asked for (both near gatherers were behind). Change: VMs that gather hold state pages of two others; one that is behind for 0.8 s, or whose store is away, takes the peer's items; seeds tell the list of VMs when the store cannot. A missing leaf in a peer's list is held 2.2 s.

--- a/trefoilpier/base/events.py
+++ b/trefoilpier/base/events.py
@@ -34,6 +34,7 @@
     STORE_UP = ("TPE-4005", "INFO", "store available")
     WATCHER_ROLE = ("TPE-4006", "INFO", "store watcher role changed")
     ENTRY_MALFORMED = ("TPE-4007", "WARNING", "store entry cannot be read")
+    TAKEN_FROM_PEER = ("TPE-4008", "INFO", "entries taken from a peer")
     NODE_JOINED = ("TPE-5001", "INFO", "node joined")
     NODE_SUSPECTED = ("TPE-5002", "WARNING", "node suspected")
     NODE_DEAD = ("TPE-5003", "WARNING", "node dead")
--- a/trefoilpier/fleet/__init__.py
+++ b/trefoilpier/fleet/__init__.py
@@ -17,11 +17,16 @@
 from trefoilpier.fleet.presence import Presence
 from trefoilpier.fleet.relay import RelayDoor, RelayWire, relay_table
 from trefoilpier.fleet.role import can_gather, gatherers_max
-from trefoilpier.fleet.state_pages import FleetState, StatePages
+from trefoilpier.fleet.state_pages import (
+    SNAPSHOT_PATH,
+    FleetState,
+    StatePages,
+)
 
 __all__ = [
     "GATHERERS",
     "KEY_PREFIX",
+    "SNAPSHOT_PATH",
     "FleetState",
     "GathererWatch",
     "Presence",
--- a/trefoilpier/fleet/gatherers.py
+++ b/trefoilpier/fleet/gatherers.py
@@ -1,4 +1,4 @@
-"""Which gatherers answer, as a relaying VM sees it."""
+"""Which VMs that gather answer, as another VM sees them."""
 
 import random
 from collections.abc import Callable
@@ -15,6 +15,7 @@
 _RETRY_S = 0.3  # Between two attempts to reach a gatherer.
 _FIND_S = 0.25  # Between two looks at the store while no gatherer answers.
 _FIND_LATER_S = 3.0  # The same once some do.
+_STATUS_NO_NEWS = 204
 _DOWN_S = 3.0  # A gatherer that went down ranks last for so long.
 _LINKS_MAX = 2  # Gatherers that a VM listens to.
 
@@ -22,7 +23,14 @@
 class _Link:
     """Follows the state of one gatherer."""
 
-    __slots__ = ("_ask", "_known", "_watch", "active", "record", "up")
+    __slots__ = (
+        "_ask",
+        "_known",
+        "_watch",
+        "active",
+        "record",
+        "up",
+    )
 
     def __init__(
         self, *, watch: "GathererWatch", record: directory.VmRecord
@@ -36,34 +44,49 @@
 
     async def run(self) -> None:
         while self.active:
-            target = b"%b?known=%b" % (state_pages.PATH, self._known.encode())
+            target = b"%b?known=%b" % (
+                state_pages.STATE_PATH,
+                self._known.encode(),
+            )
             outcome = await self._ask.ask(
                 b"GET", target, timeout_s=_STATE_TIMEOUT_S
             )
             if not self.active:
                 return
-            state = self._read(outcome)
+            if _is_no_news(outcome) and self.up:
+                continue
+            state = _read_state(outcome)
             if state is None or state.leaving:
                 leaving = state is not None
                 self._watch.link_down(self, leaving=leaving)
+                self._known = ""
                 await self._watch.sleep(_RETRY_S)
                 continue
-            self._known = (
-                f"{state.version}.{state.generation}.{int(state.leaving)}"
-            )
+            self._known = state.tag(leafs=self._watch.follows_leafs)
             self._watch.link_told(self, state)
 
-    def _read(
-        self, outcome: http1.Exchanged | http1.Lost
-    ) -> state_pages.FleetState | None:
-        if isinstance(outcome, http1.Lost):
-            return None
-        decoded = state_pages.decode_state(outcome.response.body)
-        return decoded.ok if decoded.is_ok() else None
+
+def _is_no_news(outcome: http1.Exchanged | http1.Lost) -> bool:
+    return (
+        isinstance(outcome, http1.Exchanged)
+        and outcome.response.status == _STATUS_NO_NEWS
+    )
+
+
+def _read_state(
+    outcome: http1.Exchanged | http1.Lost,
+) -> state_pages.FleetState | None:
+    if isinstance(outcome, http1.Lost):
+        return None
+    decoded = state_pages.decode_state(outcome.response.body)
+    return decoded.ok if decoded.is_ok() else None
 
 
 class GathererWatch:
-    """Finds gatherers in the store and listens to the nearest ones.
+    """Finds VMs that gather and listens to a few of them.
+
+    A VM that relays listens to the nearest ones, and its requests go there.
+    One that gathers listens to any, for what its store does not tell it.
 
     Attributes:
         version: Highest version of the routes that any of them has had.
@@ -80,6 +103,7 @@
         "_reactor",
         "_registry",
         "_rng",
+        "_seeds",
         "_store",
         "_zone",
         "directory",
@@ -97,8 +121,23 @@
         registry: replicas.LeafRegistry,
         own_id: str,
         zone: str,
-        on_state: Callable[[state_pages.FleetState], None],
+        seeds: tuple[tuple[str, int], ...],
+        on_state: Callable[[directory.VmRecord, state_pages.FleetState], None],
     ) -> None:
+        """Prepares the watch.
+
+        Args:
+            clock: The clock.
+            log: Where events go.
+            rng: Random numbers.
+            reactor: Makes connections.
+            store_client: The store in which VMs register.
+            registry: Takes the VMs that answer, as targets of requests.
+            own_id: This VM.
+            zone: VMs in this availability zone come first; empty for none.
+            seeds: State addresses of any VMs, for when the store is away.
+            on_state: Called with each VM's news.
+        """
         self._clock = clock
         self._log = log
         self._rng = rng
@@ -107,6 +146,7 @@
         self._registry = registry
         self._own_id = own_id
         self._zone = zone
+        self._seeds = seeds
         self._on_state = on_state
         self._link_by_id: dict[str, _Link] = {}
         self._down_until_by_id: dict[str, float] = {}
@@ -124,18 +164,47 @@
             link.up for link in self._link_by_id.values()
         )
 
+    @property
+    def follows_leafs(self) -> bool:
+        """Whether a peer's change of leafs is news here."""
+        return not self._zone
+
+    @property
+    def vms(self) -> list[directory.VmRecord]:
+        """The VMs that gather, as known here."""
+        return list(self.directory.vm_by_id.values())
+
     async def _find(self) -> None:
         """Reads the list from the store while nobody else tells it."""
+        find_s = _FIND_S
         while True:
-            if not self.usable:
+            if self.usable:
+                find_s = _FIND_S
+            else:
+                find_s = min(_FIND_LATER_S, 1.3 * find_s)
                 read = await self._store.read_all(
                     directory.KEY_PREFIX, may_be_old=True
                 )
                 if read.is_ok():
                     self._take_items(read.ok.items)
-            pause_s = _FIND_LATER_S if self.usable else _FIND_S
+                else:
+                    await self._ask_seeds()
+            pause_s = _FIND_LATER_S if self.usable else find_s
             await self.sleep(pause_s * self._rng.uniform(0.8, 1.2))
 
+    async def _ask_seeds(self) -> None:
+        """Takes the list of VMs from any VM that has one."""
+        for host, port in self._seeds:
+            if self.directory.vm_by_id:
+                return
+            asker = self._make_asker(host, port)
+            outcome = await asker.ask(
+                b"GET", state_pages.STATE_PATH, timeout_s=_STATE_TIMEOUT_S
+            )
+            state = _read_state(outcome)
+            if state is not None and state.vms:
+                self._take_records(state.vms)
+
     def _take_items(self, items: list[store.Item]) -> None:
         decoded = [directory.decode_vm(item.value) for item in items]
         records = [each.ok for each in decoded if each.is_ok()]
@@ -179,7 +248,7 @@
 
         def rank(record: directory.VmRecord) -> tuple[bool, bool, int]:
             down = self._down_until_by_id.get(record.id, 0.0) > now
-            far = record.zone != self._zone
+            far = bool(self._zone) and record.zone != self._zone
             return down, far, base.stable_hash(self._own_id + record.id)
 
         ranked = sorted(self.directory.vm_by_id.values(), key=rank)
@@ -187,11 +256,11 @@
 
     def make_asker(self, record: directory.VmRecord) -> http1.Asker:
         """Makes the client of one gatherer's state."""
+        return self._make_asker(record.host, record.state_port)
+
+    def _make_asker(self, host: str, port: int) -> http1.Asker:
         return http1.Asker(
-            reactor=self._reactor,
-            clock=self._clock,
-            host=record.host,
-            port=record.state_port,
+            reactor=self._reactor, clock=self._clock, host=host, port=port
         )
 
     def link_told(self, link: _Link, state: state_pages.FleetState) -> None:
@@ -203,7 +272,7 @@
             self._log.emit(base.Event.PEER_CONNECTED, peer=link.record.id)
         if state.version > self.version:
             self.version = state.version
-        self._on_state(state)
+        self._on_state(link.record, state)
         if state.vms:
             self._take_records(state.vms)
 
--- a/trefoilpier/http1/asker.py
+++ b/trefoilpier/http1/asker.py
@@ -114,6 +114,12 @@
         )
         return call.done
 
+    def close(self) -> None:
+        """Closes the connections on which no call is out."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.abort()
+
     def make_connection(self, call: _Call) -> client.ClientConnection:
         """Makes the protocol of a connection for its first call."""
         connection = client.ClientConnection(clock=self._clock, events=self)
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -26,6 +26,7 @@
     """The leafs of all services, by service.
 
     Attributes:
+        generation: Grows with each change.
         pool_by_id: One pool for each leaf that is known.
         pools_by_service: The pools that may get requests.
     """
@@ -33,14 +34,15 @@
     __slots__ = (
         "_clock",
         "_connections_max_by_service",
+        "_held_until_by_id",
         "_hold_until",
-        "_held",
         "_id_header",
         "_log",
         "_on_room",
         "_reactor",
         "_reuse",
         "_vm_count",
+        "generation",
         "pool_by_id",
         "pools_by_service",
     )
@@ -64,7 +66,8 @@
         self._connections_max_by_service: dict[str, int] = {}
         self._vm_count = _VMS_ASSUMED
         self._hold_until = 0.0
-        self._held: set[str] = set()
+        self._held_until_by_id: dict[str, float] = {}
+        self.generation = 0
         self.pool_by_id: dict[str, pool.LeafPool] = {}
         self.pools_by_service: dict[str, list[pool.LeafPool]] = {}
 
@@ -92,26 +95,51 @@
     def store_back(self) -> None:
         """Notes that the store answers again after an outage."""
         self._hold_until = self._clock.monotonic() + _HOLD_S
+        for leaf_id in self._held_until_by_id:
+            self._held_until_by_id[leaf_id] = self._hold_until
         self._clock.call_later(_HOLD_S, self._end_hold)
 
+    def _hold(self, leaf_id: str, until: float) -> None:
+        """Keeps a leaf whose entry is missing, for a while."""
+        self._held_until_by_id.setdefault(leaf_id, until)
+        if until < float("inf"):
+            pause_s = until - self._clock.monotonic()
+            self._clock.call_later(pause_s, self._end_hold)
+
     def _end_hold(self) -> None:
-        if self._clock.monotonic() < self._hold_until:
-            return
-        held, self._held = self._held, set()
-        for leaf_id in held:
+        """Removes the leafs whose entries have not come back."""
+        now = self._clock.monotonic()
+        over = [
+            leaf_id
+            for leaf_id, until in self._held_until_by_id.items()
+            if until <= now
+        ]
+        for leaf_id in over:
+            del self._held_until_by_id[leaf_id]
             self._remove(leaf_id, "not back after the store's outage")
 
-    def replace_all(self, listed: Iterable[entries.LeafEntry]) -> None:
-        """Takes the whole list; those that are missing have gone."""
+    def replace_all(
+        self, listed: Iterable[entries.LeafEntry], *, from_peer: bool = False
+    ) -> None:
+        """Takes the whole list; those that are missing have gone.
+
+        Args:
+            listed: The entries.
+            from_peer: Whether the list comes from another VM. Its store may
+                just have returned with entries that have lapsed.
+        """
         by_id = {entry.id: entry for entry in listed}
         for entry in by_id.values():
             self.put(entry)
         for leaf_id in set(self.pool_by_id) - set(by_id):
-            self.gone(leaf_id)
+            if from_peer:
+                self._hold(leaf_id, self._clock.monotonic() + _HOLD_S)
+            else:
+                self.gone(leaf_id)
 
     def put(self, entry: entries.LeafEntry) -> None:
         """Takes a leaf's entry as written."""
-        self._held.discard(entry.id)
+        self._held_until_by_id.pop(entry.id, None)
         known = self.pool_by_id.get(entry.id)
         if known is not None and not known.entry.same_process(entry):
             self._remove(entry.id, "started again")
@@ -121,6 +149,8 @@
                 return
             self._add(entry)
             return
+        if known.entry.phase is not entry.phase:
+            self.generation += 1
         known.entry = entry
         if entry.phase is entries.LeafPhase.LEAVING and not known.leaving:
             self._log.emit(
@@ -138,7 +168,7 @@
         if leaf_id not in self.pool_by_id:
             return
         if self._clock.monotonic() < self._hold_until:
-            self._held.add(leaf_id)
+            self._hold(leaf_id, self._hold_until)
             return
         self._remove(leaf_id, "entry removed")
 
@@ -165,6 +195,7 @@
             on_room=self._on_room,
             reuse=self._reuse,
         )
+        self.generation += 1
         self.pool_by_id[entry.id] = added
         self.pools_by_service.setdefault(entry.service, []).append(added)
         self._log.emit(
@@ -179,6 +210,7 @@
         removed = self.pool_by_id.pop(leaf_id, None)
         if removed is None:
             return
+        self.generation += 1
         self._unlist(removed)
         removed.leave()
         self._log.emit(
--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import error, reactor
@@ -18,7 +19,13 @@
     replicas,
     routes,
 )
-from trefoilpier.tier import front_door, line_log, pages, store_sync
+from trefoilpier.tier import (
+    front_door,
+    line_log,
+    pages,
+    peer_feed,
+    store_sync,
+)
 
 EXIT_OK = 0
 EXIT_SETTINGS = 3
@@ -47,8 +54,10 @@
         "_directory",
         "_door",
         "_engine",
+        "_feed",
         "_leafs",
         "_log",
+        "_peers",
         "_presence",
         "_relay",
         "_rng",
@@ -89,8 +98,17 @@
         )
         self._presence: fleet.Presence | None = None
         self._state_pages = fleet.StatePages(
-            clock=self._clock, make_state=self._state
+            clock=self._clock,
+            make_state=self._state,
+            make_snapshot=lambda: peer_feed.encode_items(self._sync.items),
+        )
+        self._feed = peer_feed.PeerFeed(
+            clock=self._clock,
+            log=self._log,
+            reactor=reactor,
+            sync=self._sync,
         )
+        self._peers = self._make_peer_watch()
         self._door = front_door.FrontDoor(
             clock=self._clock,
             engine=self._engine,
@@ -132,7 +150,32 @@
             relay_wire, _RELAY_BUDGET, _RELAY_REUSE
         )
         registry.set_connection_limits({fleet.GATHERERS: _RELAY_CONNECTIONS})
-        watch = fleet.GathererWatch(
+        watch = self._make_watch(
+            registry, zone=self._boot.zone, on_state=self._take_state
+        )
+        return front_door.Relay(engine=engine, wire=relay_wire, watch=watch)
+
+    def _make_peer_watch(self) -> fleet.GathererWatch:
+        """Makes what a VM that gathers hears of the others."""
+        registry = replicas.LeafRegistry(
+            clock=self._clock,
+            log=base.NullEventLog(),
+            reactor=reactor,
+            id_header=b"",
+            on_room=lambda pool: None,
+        )
+        return self._make_watch(
+            registry, zone="", on_state=self._feed.take_state
+        )
+
+    def _make_watch(
+        self,
+        registry: replicas.LeafRegistry,
+        *,
+        zone: str,
+        on_state: Callable[[fleet.VmRecord, fleet.FleetState], None],
+    ) -> fleet.GathererWatch:
+        return fleet.GathererWatch(
             clock=self._clock,
             log=self._log,
             rng=self._rng,
@@ -140,10 +183,10 @@
             store_client=self._store,
             registry=registry,
             own_id=self._boot.node_id,
-            zone=self._boot.zone,
-            on_state=self._take_state,
+            zone=zone,
+            seeds=self._boot.seeds,
+            on_state=on_state,
         )
-        return front_door.Relay(engine=engine, wire=relay_wire, watch=watch)
 
     def start(self) -> None:
         """Listens and starts; raises ``CannotListenError``."""
@@ -155,6 +198,7 @@
         page_server = pages.PageServer(page_by_path=pages_by_path)
         self._listen(boot.callers, self._door)
         self._listen(boot.readiness, page_server)
+        self._listen(boot.peers, self._state_pages)
         self._listen_metrics(page_server)
         if self._can_gather():
             self._start_gathering()
@@ -224,15 +268,12 @@
 
     def _start_gathering(self) -> None:
         boot = self._boot
-        relay_port, state_port = boot.inner_ports[0], boot.inner_ports[0] + 1
+        relay_port = boot.inner_ports[0]
         host = boot.callers.host
         self._listen(
             platform.Address(host=host, port=relay_port),
             fleet.RelayDoor(engine=self._engine),
         )
-        self._listen(
-            platform.Address(host=host, port=state_port), self._state_pages
-        )
         started_ms = int(self._clock.utc_now().timestamp() * 1000)
         self._presence = fleet.Presence(
             clock=self._clock,
@@ -243,13 +284,14 @@
                 zone=boot.zone,
                 host=host,
                 relay_port=relay_port,
-                state_port=state_port,
+                state_port=boot.peers.port,
                 started_ms=started_ms,
             ),
             lease_least_s=boot.lease_least_s,
         )
         self._presence.start()
         self._sync.start()
+        self._peers.start()
 
     def _take_table(self, table: routes.RouteTable) -> None:
         self._engine.table = table
@@ -283,13 +325,17 @@
         table = self._engine.table
         return fleet.FleetState(
             version=table.version if table is not None else 0,
+            current=self._sync.current,
             leaving=self._stopping,
             limits=table.limits if table else http1.CallerLimits(),
-            generation=self._directory.generation,
-            vms=self._gatherers(),
+            vm_generation=self._directory.generation,
+            leaf_generation=self._leafs.generation,
+            vms=self._gatherers() or self._relay.watch.vms,
         )
 
-    def _take_state(self, state: fleet.FleetState) -> None:
+    def _take_state(
+        self, record: fleet.VmRecord, state: fleet.FleetState
+    ) -> None:
         """Takes what a gatherer tells this VM."""
         self._relay.take_version(state.version)
         if not self._gathers() and state.version >= self._relay.version:
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -24,14 +24,17 @@
     """Reads everything once, then follows the changes.
 
     Attributes:
-        loaded: Whether a whole read has succeeded since the start.
-        loaded_at: Monotonic instant of the first one.
+        loaded: Whether the whole list is known, from the store or a peer.
+        loaded_at: Monotonic instant since which it is.
+        loaded_store: Whether the store itself has told it.
     """
 
     __slots__ = (
         "_careful_until",
         "_clock",
         "_directory",
+        "_doubt",
+        "_items_by_key",
         "_log",
         "_lost",
         "_malformed",
@@ -45,6 +48,7 @@
         "_table",
         "loaded",
         "loaded_at",
+        "loaded_store",
     )
 
     def __init__(
@@ -70,11 +74,14 @@
         self._table: routes.RouteTable | None = None
         self._malformed: dict[str, int] = {}
         self._started = False
+        self._items_by_key: dict[str, store.Item] = {}
+        self._doubt = False
         self._lost = False
         self._careful_until = 0.0
         self._pause_s = _RETRY_FIRST_S
         self.loaded = False
         self.loaded_at = 0.0
+        self.loaded_store = False
 
     def start(self) -> None:
         """Starts to follow the store, for as long as the process runs.
@@ -107,22 +114,62 @@
             return 0
         self._answered()
         snapshot = read.ok
+        self._items_by_key = {item.key: item for item in snapshot.items}
+        self._take_items(from_peer=False)
+        self.loaded_store = True
+        self._note_loaded()
+        return snapshot.revision
+
+    def _take_items(self, *, from_peer: bool) -> None:
+        """Takes all items as they are."""
         leafs = []
         vms = []
-        for item in snapshot.items:
+        for item in self._items_by_key.values():
             if item.key == platform.ROUTES_KEY:
                 self._take_routes(item)
             elif item.key.startswith(platform.LEAF_PREFIX):
                 leafs += self._read_leaf(item)
             elif item.key.startswith(fleet.KEY_PREFIX):
                 vms += self._read_vm(item)
-        self._directory.replace_all(vms)
+        if vms or not from_peer:
+            self._directory.replace_all(vms)
+        self._registry.replace_all(leafs, from_peer=from_peer)
         self._on_fleet()
-        self._registry.replace_all(leafs)
+
+    def take_from_peer(self, items: list[store.Item]) -> None:
+        """Takes the items of a VM that follows the store when this does not.
+
+        Routes are taken at any time if they are newer; the rest only while
+        the store is away.
+        """
+        if self.current:
+            for item in items:
+                if item.key == platform.ROUTES_KEY:
+                    self._take_routes(item)
+            return
+        self._items_by_key = {item.key: item for item in items}
+        self._take_items(from_peer=True)
+        self._note_loaded()
+
+    @property
+    def current(self) -> bool:
+        """Whether the store has answered the last call."""
+        return self.loaded_store and not self._doubt
+
+    @property
+    def version(self) -> int:
+        """Version of the routes in force; 0 for none."""
+        return self._table.version if self._table is not None else 0
+
+    @property
+    def items(self) -> list[store.Item]:
+        """The store's items as last known, for peers."""
+        return list(self._items_by_key.values())
+
+    def _note_loaded(self) -> None:
         if not self.loaded:
             self.loaded = True
             self.loaded_at = self._clock.monotonic()
-        return snapshot.revision
 
     async def _follow(self, revision: int) -> int:
         """Waits for changes; returns 0 when everything must be read again."""
@@ -130,6 +177,7 @@
         wait_s = _CAREFUL_WATCH_S if now < self._careful_until else _WATCH_S
         seen = await self._store.watch("", after=revision, wait_s=wait_s)
         if seen.is_error():
+            self._doubt = True
             self._log.emit(
                 base.Event.STORE_DOWN, problem=seen.error.detail, call="watch"
             )
@@ -145,6 +193,10 @@
     def _take_changes(self, changes: list[store.Change]) -> None:
         gone = []
         for change in changes:
+            if change.item is not None:
+                self._items_by_key[change.key] = change.item
+            else:
+                self._items_by_key.pop(change.key, None)
             if change.key == platform.ROUTES_KEY and change.item is not None:
                 self._take_routes(change.item)
             if change.key.startswith(fleet.KEY_PREFIX):
@@ -161,6 +213,7 @@
                 if not entries:
                     gone.append(leaf_id)
         self._registry.gone_together(gone)
+        self._on_fleet()
 
     def _take_routes(self, item: store.Item) -> None:
         decoded = platform.decode_routes(item.value)
@@ -190,7 +243,6 @@
         else:
             for record in self._read_vm(change.item):
                 self._directory.put(record)
-        self._on_fleet()
 
     def _read_vm(self, item: store.Item) -> list[fleet.VmRecord]:
         decoded = fleet.decode_vm(item.value)
@@ -218,6 +270,7 @@
         return []
 
     def _answered(self) -> None:
+        self._doubt = False
         self._pause_s = _RETRY_FIRST_S
         if self._lost:
             self._lost = False
@@ -225,6 +278,7 @@
             self._log.emit(base.Event.STORE_UP)
 
     async def _failed(self, failure: base.Failure) -> None:
+        self._doubt = True
         if not self._lost:
             self._lost = True
             self._registry.store_lost()
