One store client: the stand-in store speaks the published protocol

Cause: two clients and two dialects of one store stood side by side. Change: standins.platform answers the published calls (keys, ranges in pages, watches of a prefix, transactions, leases); the earlier dialect and its client are gone; single keys and the membership list are a view (metadata.KeyedStore) over the shared client. The operators' command line uses the same HTTP client.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,8 +5,8 @@
 """
 
 import argparse
+import base64
 import dataclasses
-import urllib.parse
 from collections.abc import Callable
 from typing import Any
 
@@ -16,6 +16,10 @@
 from standins import httpd, platform_model
 from trefoilpier import base
 
+_MEMBER_PREFIX = "vms/"
+_PAGE_ITEMS = 500
+_WATCH_MAX_S = 30.0
+
 
 class PlatformServer:
     """Serves the store and the membership list with faults."""
@@ -42,32 +46,106 @@
         if self._model.faults.down:
             call.drop()
             return
-        if call.path == "/v1/members":
-            call.answer({"members": self._model.members()})
-        elif call.path == "/v1/leases":
-            ttl = float(call.query["ttl"])
-            self._write(call, lambda: {"id": self._model.grant(ttl)})
-        elif call.path.startswith("/v1/watch/"):
-            self._watch(call)
-        elif call.path.startswith("/v1/kv/"):
-            self._kv(call)
+        handle = {
+            "/kv-key": self._key,
+            "/kv-range": self._range,
+            "/kv-watch": self._watch,
+            "/kv-txn": self._txn,
+            "/kv-lease": self._lease,
+        }.get(call.path)
+        if handle is not None:
+            handle(call)
+        elif call.path.startswith("/kv-keep/"):
+            lease = call.path.removeprefix("/kv-keep/")
+            call.answer({}, 200 if self._model.keep(lease) else 404)
+        elif call.path.startswith("/kv-lease-end/"):
+            self._model.end_lease(call.path.removeprefix("/kv-lease-end/"))
+            call.answer({})
         else:
-            call.answer({}, 404)
+            call.answer({"error": "no such call"}, 404)
 
-    def _kv(self, call: httpd.HttpCall) -> None:
-        key = urllib.parse.unquote(call.path[len("/v1/kv/") :])
-        if call.method == "GET":
-            call.answer(_row(self._model.get(key)))
+    def _key(self, call: httpd.HttpCall) -> None:
+        key = call.query["key"]
+        stored = self._model.get(key)
+        if not stored.revision:
+            call.answer({"at": self._model.revision}, 404)
             return
-        expect = int(call.query["expect"])
-        lease = call.query.get("lease", "")
-        value = call.body.decode()
+        call.answer({**_item(key, stored), "at": self._model.revision})
+
+    def _range(self, call: httpd.HttpCall) -> None:
+        prefix = call.query["prefix"]
+        stored_by_key = self._model.items(prefix)
+        if _MEMBER_PREFIX.startswith(prefix) or prefix == _MEMBER_PREFIX:
+            stored_by_key |= self._members()
+        after = call.query.get("after", "")
+        keys = [key for key in sorted(stored_by_key) if key > after]
+        page = keys[:_PAGE_ITEMS]
+        call.answer(
+            {
+                "items": [_item(key, stored_by_key[key]) for key in page],
+                "has-more": len(keys) > len(page),
+                "at": self._model.revision,
+            }
+        )
+
+    def _members(self) -> dict[str, platform_model.StoredValue]:
+        """Returns the membership list, which lags, as stored values."""
+        return {
+            f"{_MEMBER_PREFIX}{row['id']}": platform_model.StoredValue(
+                value=orjson.dumps(row).decode(), revision=1
+            )
+            for row in self._model.members()
+        }
+
+    def _watch(self, call: httpd.HttpCall) -> None:
+        prefix = call.query["prefix"]
+        after = int(call.query["after"])
+        wait_s = min(_WATCH_MAX_S, int(call.query["wait-ms"]) / 1000)
+
+        def reply() -> None:
+            if self._model.faults.down:
+                call.drop()
+                return
+            changes = self._model.changes(prefix, after)
+            if changes is None:
+                call.answer({"error": "history is gone"}, 410)
+                return
+            events = [_event(change) for change in changes]
+            call.answer({"events": events, "at": self._model.revision})
+
+        self._model.watch_prefix(prefix, after, wait_s, reply)
+
+    def _txn(self, call: httpd.HttpCall) -> None:
+        row = orjson.loads(call.body)
+        for condition in row.get("precondition", []):
+            current = self._model.get(condition["key"])
+            if current.revision != condition["revision"]:
+                call.answer({"items": []}, 412)
+                return
+
+        def write() -> dict[str, Any]:
+            for each in row.get("writes", []):
+                value = base64.b64decode(each["value"]).decode()
+                lease = str(each.get("lease") or "")
+                self._model.put(each["key"], value, None, lease)
+            for key in row.get("delete-keys", []):
+                self._model.delete(key)
+            return {"revision": self._model.revision}
+
+        self._write(call, write)
+
+    def _lease(self, call: httpd.HttpCall) -> None:
+        ttl_ms = orjson.loads(call.body)["ttl-ms"]
         self._write(
-            call, lambda: _row(self._model.put(key, value, expect, lease))
+            call,
+            lambda: {
+                "lease": int(self._model.grant(ttl_ms / 1000)),
+                "ttl-ms": ttl_ms,
+            },
         )
 
     def _write(
-        self, call: httpd.HttpCall, write: Callable[[], dict[str, Any] | None]
+        self, call: httpd.HttpCall, write: Callable[[], dict[str, Any]]
     ) -> None:
         """Writes, or loses the write or its answer."""
         faults = self._model.faults
@@ -80,33 +158,27 @@
             faults.lose_answers -= 1
             call.drop()
             return
-        if row is None:
-            call.answer({}, 409)
-        else:
-            call.answer(row)
-
-    def _watch(self, call: httpd.HttpCall) -> None:
-        key = urllib.parse.unquote(call.path[len("/v1/watch/") :])
-        self._model.watch(
-            key,
-            int(call.query["after"]),
-            min(30.0, float(call.query["wait"])),
-            lambda stored: self._watched(call, stored),
-        )
-
-    def _watched(
-        self, call: httpd.HttpCall, stored: platform_model.StoredValue
-    ) -> None:
-        if self._model.faults.down:
-            call.drop()
-            return
-        call.answer(_row(stored))
-
-
-def _row(stored: platform_model.StoredValue | None) -> dict[str, Any] | None:
-    if stored is None:
-        return None
-    return {"value": stored.value, "revision": stored.revision}
+        call.answer(row)
+
+
+def _item(key: str, stored: platform_model.StoredValue) -> dict[str, Any]:
+    return {
+        "key": key,
+        "value": base64.b64encode(stored.value.encode()).decode(),
+        "revision": stored.revision,
+        "created": stored.created,
+        "lease": int(stored.lease or 0),
+    }
+
+
+def _event(change: platform_model.StoredChange) -> dict[str, Any]:
+    if change.stored is None:
+        return {
+            "key": change.key,
+            "revision": change.revision,
+            "deleted": True,
+        }
+    return _item(change.key, change.stored)
 
 
 class ControlServer:
--- a/standins/platform_model.py
+++ b/standins/platform_model.py
@@ -32,22 +32,32 @@
 
 @dataclass(slots=True, kw_only=True)
 class StoredValue:
-    """A value with its revision and lease."""
+    """A value with its revisions and lease."""
 
     value: str
     revision: int
     lease: str = ""
+    created: int = 0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StoredChange:
+    """One change; ``stored`` is None for a removal."""
+
+    key: str
+    revision: int
+    stored: StoredValue | None
 
 
 class _Watch:
-    """A watch that waits for a newer revision."""
+    """A watch that waits for a change below a prefix."""
 
-    __slots__ = ("after", "done", "key", "reply")
+    __slots__ = ("after", "done", "prefix", "reply")
 
     def __init__(
-        self, *, key: str, after: int, reply: Callable[[StoredValue], None]
+        self, *, prefix: str, after: int, reply: Callable[[], None]
     ) -> None:
-        self.key = key
+        self.prefix = prefix
         self.after = after
         self.reply = reply
         self.done = False
@@ -69,32 +79,39 @@
 
     Attributes:
         faults: Faults that are on.
+        revision: Revision of the last change.
         counts: Calls since the start.
     """
 
     __slots__ = (
         "_before_by_key",
+        "_changes",
         "_clock",
+        "_history_from",
         "_lease_count",
         "_lease_end_by_id",
+        "_lease_ttl_by_id",
         "_member_history",
-        "_revision",
         "_value_by_key",
-        "_watches_by_key",
+        "_watches",
         "counts",
         "faults",
+        "revision",
     )
 
     def __init__(self, *, clock: base.Clock) -> None:
         self.faults = PlatformFaults()
         self.counts = CallCounts()
         self._clock = clock
-        self._revision = 0
+        self.revision = 0
+        self._history_from = 0
+        self._changes: list[StoredChange] = []
         self._value_by_key: dict[str, StoredValue] = {}
         self._before_by_key: dict[str, StoredValue] = {}
-        self._watches_by_key: dict[str, list[_Watch]] = {}
+        self._watches: list[_Watch] = []
         self._lease_count = 0
         self._lease_end_by_id: dict[str, float] = {}
+        self._lease_ttl_by_id: dict[str, float] = {}
         self._member_history: list[tuple[float, list[dict[str, Any]]]] = [
             (clock.monotonic(), [])
         ]
@@ -108,22 +125,75 @@
         return self._current(key)
 
     def put(
-        self, key: str, value: str, expect: int, lease: str
+        self, key: str, value: str, expect: int | None, lease: str
     ) -> StoredValue | None:
         """Writes a value; None when its revision is not ``expect``."""
         self.counts.writes += 1
         self._count_prefix(key)
         before = self._current(key)
-        if before.revision != expect:
+        if expect is not None and before.revision != expect:
             return None
-        self._revision += 1
-        stored = StoredValue(value=value, revision=self._revision, lease=lease)
+        self.revision += 1
+        stored = StoredValue(
+            value=value,
+            revision=self.revision,
+            lease=lease,
+            created=before.created or self.revision,
+        )
         self._before_by_key[key] = before
         self._value_by_key[key] = stored
-        for watch in self._watches_by_key.pop(key, []):
-            self._fire(watch, stored)
+        self._changed(key, stored)
         return stored
 
+    def delete(self, key: str) -> None:
+        """Removes a key."""
+        if self._value_by_key.pop(key, None) is not None:
+            self.revision += 1
+            self._changed(key, None)
+
+    def _changed(self, key: str, stored: StoredValue | None) -> None:
+        self._changes.append(
+            StoredChange(key=key, revision=self.revision, stored=stored)
+        )
+        for watch in list(self._watches):
+            if key.startswith(watch.prefix):
+                self._fire(watch)
+
+    def drop_history(self) -> None:
+        """Forgets all changes so far."""
+        self._history_from = self.revision
+        self._changes.clear()
+
+    def items(self, prefix: str) -> dict[str, StoredValue]:
+        """Returns the values below a prefix, by key."""
+        self.counts.reads += 1
+        keys = [key for key in self._value_by_key if key.startswith(prefix)]
+        found = {key: self._current(key) for key in sorted(keys)}
+        return {key: each for key, each in found.items() if each.revision}
+
+    def changes(self, prefix: str, after: int) -> list[StoredChange] | None:
+        """Returns the changes after a revision; None if forgotten."""
+        if after < self._history_from:
+            return None
+        return [
+            change
+            for change in self._changes
+            if change.revision > after and change.key.startswith(prefix)
+        ]
+
+    def watch_prefix(
+        self, prefix: str, after: int, wait: float, reply: Callable[[], None]
+    ) -> None:
+        """Replies once there is a change after a revision, or at the end."""
+        self.counts.watches += 1
+        if self.changes(prefix, after) != []:
+            reply()
+            return
+        watch = _Watch(prefix=prefix, after=after, reply=reply)
+        self._watches.append(watch)
+        self.counts.watches_waiting += 1
+        self._clock.call_later(wait, self._fire, watch)
+
     def watch(
         self,
         key: str,
@@ -131,27 +201,46 @@
         wait: float,
         reply: Callable[[StoredValue], None],
     ) -> None:
-        """Replies once the revision is above ``after``, or after ``wait``."""
-        self.counts.watches += 1
+        """Replies once a key's revision is above ``after``, or at the end."""
         current = self._current(key)
         if self.faults.stale_reads and key in self._before_by_key:
             current = self._before_by_key[key]
         if current.revision != after and current.revision:
+            self.counts.watches += 1
             reply(current)
             return
-        watch = _Watch(key=key, after=after, reply=reply)
-        self._watches_by_key.setdefault(key, []).append(watch)
-        self.counts.watches_waiting += 1
-        self._clock.call_later(wait, self._watch_over, watch)
+        self.watch_prefix(
+            key, self.revision, wait, lambda: reply(self._current(key))
+        )
 
     def grant(self, ttl: float) -> str:
         """Makes a lease."""
         self.counts.writes += 1
         self._lease_count += 1
-        lease = f"lease-{self._lease_count}"
+        lease = str(self._lease_count)
+        self._lease_ttl_by_id[lease] = ttl
         self._lease_end_by_id[lease] = self._clock.monotonic() + ttl
         return lease
 
+    def keep(self, lease: str) -> bool:
+        """Renews a lease; False if it has ended."""
+        if not self._lease_lives(lease):
+            return False
+        ttl = self._lease_ttl_by_id[lease]
+        self._lease_end_by_id[lease] = self._clock.monotonic() + ttl
+        return True
+
+    def end_lease(self, lease: str) -> None:
+        """Ends a lease and removes its keys."""
+        self._lease_end_by_id.pop(lease, None)
+        for key, stored in list(self._value_by_key.items()):
+            if stored.lease == lease:
+                self.delete(key)
+
+    def _lease_lives(self, lease: str) -> bool:
+        end = self._lease_end_by_id.get(lease)
+        return end is not None and end >= self._clock.monotonic()
+
     def set_members(self, members: list[dict[str, Any]]) -> None:
         """Replaces the membership list."""
         now = self._clock.monotonic()
@@ -179,25 +268,18 @@
         stored = self._value_by_key.get(key)
         if stored is None:
             return StoredValue(value="", revision=0)
-        end = self._lease_end_by_id.get(stored.lease)
-        if end is not None and end < self._clock.monotonic():
-            del self._value_by_key[key]
+        if stored.lease and not self._lease_lives(stored.lease):
+            self.delete(key)
             return StoredValue(value="", revision=0)
         return stored
 
-    def _fire(self, watch: _Watch, stored: StoredValue) -> None:
-        if not watch.done:
-            watch.done = True
-            self.counts.watches_waiting -= 1
-            watch.reply(stored)
-
-    def _watch_over(self, watch: _Watch) -> None:
+    def _fire(self, watch: _Watch) -> None:
         if watch.done:
             return
-        waiting = self._watches_by_key.get(watch.key, [])
-        if watch in waiting:
-            waiting.remove(watch)
-        self._fire(watch, self._current(watch.key))
+        watch.done = True
+        self._watches.remove(watch)
+        self.counts.watches_waiting -= 1
+        watch.reply()
 
     def _count_prefix(self, key: str) -> None:
         prefix = key.split("/", 1)[0]
--- a/trefoilpier/cli/common.py
+++ b/trefoilpier/cli/common.py
@@ -9,7 +9,7 @@
 from cleo.helpers import option
 from twisted.internet import defer, task
 
-from trefoilpier import base, metadata
+from trefoilpier import base, metadata, platform
 
 EXIT_OK = 0
 EXIT_USAGE = 2
@@ -69,7 +69,11 @@
         from twisted.internet import reactor
 
         host, port = parse_address(self.option("platform"))
-        return metadata.HttpStore(reactor=reactor, host=host, port=port)
+        return metadata.KeyedStore(
+            shared_store=platform.PlatformStore(
+                reactor=reactor, clock=self.clock(), host=host, port=port
+            )
+        )
 
     def clock(self) -> base.Clock:
         """Returns the clock."""
--- a/trefoilpier/cli/vm_commands.py
+++ b/trefoilpier/cli/vm_commands.py
@@ -7,10 +7,9 @@
 import expression
 import orjson
 from cleo.helpers import argument, option
-from twisted.internet import defer, error
-from twisted.web import client, http_headers
+from twisted.internet import defer
 
-from trefoilpier import base, metadata
+from trefoilpier import base, http1, metadata
 from trefoilpier.cli import common
 
 _ANSWER_TIMEOUT_S = 5.0
@@ -45,30 +44,30 @@
     """Asks an entry VM; None when it cannot be reached."""
     from twisted.internet import reactor
 
-    agent = client.Agent(reactor, connectTimeout=1.0)
-    producer = None
-    if body is not None:
-        producer = metadata.BytesProducer(body=body)
-    rows = {name: [text] for name, text in (headers or {}).items()}
-    asking = agent.request(
+    asker = http1.Asker(
+        reactor=reactor,
+        clock=base.ReactorClock(reactor=reactor),
+        host=host,
+        port=port,
+    )
+    outcome = await asker.ask(
         method.encode(),
-        f"http://{host}:{port}{path}".encode(),
-        http_headers.Headers(rows),
-        producer,
+        path.encode(),
+        headers=[
+            (name.lower().encode(), text.encode())
+            for name, text in (headers or {}).items()
+        ],
+        body=body or b"",
+        timeout_s=_ANSWER_TIMEOUT_S,
     )
-    asking.addTimeout(_ANSWER_TIMEOUT_S, reactor)
+    asker.close()
+    if isinstance(outcome, http1.Lost):
+        return None
     try:
-        response = await asking
-        data = await client.readBody(response)
-        return response.code, orjson.loads(data)
-    except (
-        error.ConnectError,
-        error.ConnectionClosed,
-        defer.TimeoutError,
-        client.ResponseFailed,
-        orjson.JSONDecodeError,
-    ):
+        row = orjson.loads(outcome.response.body)
+    except orjson.JSONDecodeError:
         return None
+    return outcome.response.status, row
 
 
 async def fetch_statuses(
--- a/trefoilpier/metadata/__init__.py
+++ b/trefoilpier/metadata/__init__.py
@@ -1,6 +1,6 @@
-"""The platform's key-value store and membership list."""
+"""Single keys of the shared store, and the membership list."""
 
-from trefoilpier.metadata.http_store import BytesProducer, HttpStore
+from trefoilpier.metadata.keyed import KeyedStore
 from trefoilpier.metadata.store import (
     Entry,
     Store,
@@ -9,9 +9,8 @@
 )
 
 __all__ = [
-    "BytesProducer",
     "Entry",
-    "HttpStore",
+    "KeyedStore",
     "Store",
     "VmRecord",
     "VmState",
--- a/trefoilpier/node/main.py
+++ b/trefoilpier/node/main.py
@@ -19,6 +19,7 @@
     membership,
     metadata,
     peer,
+    platform,
 )
 from trefoilpier.node import node, shutdown
 
@@ -75,10 +76,13 @@
                 reactor=reactor, clock=self._clock, rng=rng, log=self._log
             ),
             network=self._network,
-            store=metadata.HttpStore(
-                reactor=reactor,
-                host=settings.platform_host,
-                port=settings.platform_port,
+            store=metadata.KeyedStore(
+                shared_store=platform.PlatformStore(
+                    reactor=reactor,
+                    clock=self._clock,
+                    host=settings.platform_host,
+                    port=settings.platform_port,
+                )
             ),
             timing=membership.MembershipTiming(),
             queries_max=settings.queries_max,
--- a/trefoilpier/platform/kv.py
+++ b/trefoilpier/platform/kv.py
@@ -112,6 +112,24 @@
                 )
             after = page[-1].key
 
+    def read(self, key: str) -> "defer.Deferred[Any]":
+        """Reads a key; an absent one has revision 0."""
+        return defer.ensureDeferred(self._read(key))
+
+    async def _read(
+        self, key: str
+    ) -> expression.Result[store.Item, base.Failure]:
+        path = "/kv-key?" + urllib.parse.urlencode({"key": key})
+        answer = _expect(
+            await self._ask("GET", path), _STATUS_OK, _STATUS_MISSING
+        )
+        if answer.is_error():
+            return expression.Error(answer.error)
+        status, row = answer.ok
+        if status == _STATUS_MISSING:
+            return expression.Ok(store.Item(key=key, value=b"", revision=0))
+        return expression.Ok(_item(row))
+
     def watch(
         self, prefix: str, *, after: int, wait_s: float
     ) -> "defer.Deferred[Any]":
--- a/trefoilpier/store/api.py
+++ b/trefoilpier/store/api.py
@@ -83,6 +83,12 @@
                 read costs less.
         """
 
+    @abc.abstractmethod
+    def read(
+        self, key: str
+    ) -> "defer.Deferred[expression.Result[Item, base.Failure]]":
+        """Reads a key; an absent one has revision 0."""
+
     @abc.abstractmethod
     def watch(
         self, prefix: str, *, after: int, wait_s: float
