--- /dev/null
+++ b/standins/memory_tier.py
@@ -0,0 +1,214 @@
+"""One VM's forwarding over leafs in memory, at a virtual clock."""
+
+import random
+from dataclasses import dataclass
+
+from standins import memory_net, opaque_leaf
+from trefoilpier import base, forward, http1, platform, replicas, routes
+
+_HOST = "10.0.0.1"
+_CALLERS = ("10.9.0.1", 80)
+_BUDGET = forward.BudgetTerms(share=0.2, window_s=10.0, allowance=54.0)
+
+
+class RecordingLog(base.EventLog):
+    """Keeps events for a test to look at."""
+
+    __slots__ = ("rows",)
+
+    def __init__(self) -> None:
+        self.rows: list[tuple[base.Event, dict]] = []
+
+    def emit(self, event: base.Event, **fields: object) -> None:
+        """Keeps one event."""
+        self.rows.append((event, fields))
+
+
+@dataclass(slots=True, kw_only=True)
+class Answer:
+    """What a caller got.
+
+    Attributes:
+        status: 0 if the connection closed without a response.
+        took_s: Seconds since the request was sent.
+    """
+
+    status: int
+    took_s: float
+    headers: http1.Headers
+    body: bytes
+
+
+class MemoryTier:
+    """A VM, its leafs and its callers.
+
+    Attributes:
+        answers: What callers got, by request id.
+        leaf_by_id: The leafs.
+    """
+
+    __slots__ = (
+        "_asker",
+        "_rng",
+        "answers",
+        "clock",
+        "engine",
+        "leaf_by_id",
+        "log",
+        "net",
+        "registry",
+        "server",
+    )
+
+    def __init__(
+        self, *, seed: int = 1, budget: forward.BudgetTerms = _BUDGET
+    ) -> None:
+        self._rng = random.Random(seed)
+        self.clock = base.VirtualClock(start=100.0)
+        self.net = memory_net.MemoryNet(clock=self.clock)
+        self.log = RecordingLog()
+        wire = platform.PlatformWire()
+        self.engine = forward.ForwardEngine(
+            clock=self.clock,
+            log=self.log,
+            wire=wire,
+            chooser=replicas.LeafChooser(rng=self._rng, zone="z1"),
+            budget_terms=budget,
+        )
+        self.registry = replicas.LeafRegistry(
+            clock=self.clock,
+            log=self.log,
+            reactor=self.net,
+            id_header=wire.id_header,
+            on_room=self.engine.room,
+        )
+        self.engine.registry = self.registry
+        self.engine.set_vm_count(1)
+        self.registry.set_vm_count(1)
+        self.server = http1.ServerFactory(
+            clock=self.clock,
+            handler=self.engine,
+            limits=http1.CallerLimits(),
+        )
+        self.net.listen(*_CALLERS, self.server)
+        self._asker = http1.Asker(
+            reactor=self.net,
+            clock=self.clock,
+            host=_CALLERS[0],
+            port=_CALLERS[1],
+        )
+        self.leaf_by_id: dict[str, opaque_leaf.OpaqueLeaf] = {}
+        self.answers: dict[str, Answer] = {}
+
+    def add_leaf(
+        self, service: str, name: str, **options: float
+    ) -> opaque_leaf.OpaqueLeaf:
+        """Starts a leaf and registers it."""
+        made = opaque_leaf.OpaqueLeaf(
+            clock=self.clock, rng=self._rng, leaf_id=name, **options
+        )
+        port = 8000 + len(self.leaf_by_id)
+        self.leaf_by_id[name] = made
+        self.net.listen(_HOST, port, made.factory())
+        self.registry.put(
+            replicas.LeafEntry(
+                id=name,
+                incarnation=0,
+                service=service,
+                host=_HOST,
+                port=port,
+                zone="z1",
+                slots=made.slots,
+                phase=replicas.LeafPhase.READY,
+            )
+        )
+        return made
+
+    def leafs_of(self, service: str) -> list[opaque_leaf.OpaqueLeaf]:
+        """Returns the leafs of a service."""
+        return [
+            self.leaf_by_id[pool.entry.id]
+            for pool in self.registry.pool_by_id.values()
+            if pool.entry.service == service
+        ]
+
+    def set_routes(self, *made: routes.Route, connections: int = 26) -> None:
+        """Puts routes in force."""
+        names = {name for route in made for name in route.service_names}
+        version = self.engine.table.version + 1 if self.engine.table else 1
+        self.engine.table = routes.RouteTable(version=version, routes=made)
+        self.registry.set_connection_limits(dict.fromkeys(names, connections))
+
+    def ask(
+        self,
+        request_id: str,
+        target: str = "/s/1",
+        *,
+        method: str = "GET",
+        wait_s: float = 1.0,
+        body: bytes = b"",
+    ) -> None:
+        """Sends a caller's request; `answers` gets its end."""
+        sent_at = self.clock.monotonic()
+        headers = [
+            (b"x-request-id", request_id.encode()),
+            (b"x-deadline-ms", b"%d" % int(wait_s * 1000)),
+        ]
+
+        def ended(outcome: http1.Exchanged | http1.Lost) -> None:
+            took_s = self.clock.monotonic() - sent_at
+            if isinstance(outcome, http1.Lost):
+                answer = Answer(status=0, took_s=took_s, headers=[], body=b"")
+            else:
+                response = outcome.response
+                answer = Answer(
+                    status=response.status,
+                    took_s=took_s,
+                    headers=response.headers,
+                    body=response.body,
+                )
+            self.answers[request_id] = answer
+
+        self._asker.ask(
+            method.encode(),
+            target.encode(),
+            headers=headers,
+            body=body,
+            timeout_s=wait_s + 1.0,
+        ).addCallback(ended)
+
+    def runs_of(self, request_id: str) -> int:
+        """Returns how many leafs ran a request."""
+        return sum(
+            leaf.runs.count(request_id.encode())
+            for leaf in self.leaf_by_id.values()
+        )
+
+
+def make_route(**changes: object) -> routes.Route:
+    """Returns a route to the service ``s`` with some fields changed."""
+    fields: dict = {
+        "name": "r",
+        "host": _CALLERS[0].encode(),
+        "prefix": b"/s/",
+        "repeatable": True,
+        "timeout_s": 1.0,
+        "objective_s": 0.12,
+        "attempts_max": 2,
+        "rank": 1,
+        "targets": (routes.WeightedService(name="s", weight=1.0),),
+    }
+    fields.update(changes)
+    return routes.Route(**fields)
+
+
+def make_gather(
+    shards: int, least: float = 0.89, **changes: object
+) -> routes.Route:
+    """Returns a route over so many shards."""
+    gather = routes.Gather(
+        services=tuple(f"shard{k}" for k in range(shards)),
+        records_max=5,
+        coverage_least=least,
+    )
+    return make_route(targets=(), gather=gather, **changes)
--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -5,6 +5,7 @@
     admission,
     budget,
     gather_run,
+    histogram,
     lane,
     latency,
     service_call,
@@ -29,6 +30,9 @@
         in_flight: Requests that have no response yet.
         draining: Whether the VM is shutting down.
         vm_count: VMs that share each service's allowance.
+        histogram: Latencies of all ended requests.
+        sends: Requests sent to leafs.
+        sends_extra: Second sends among them.
         count_by_outcome: Responses so far, by result code.
     """
 
@@ -43,8 +47,11 @@
         "clock",
         "count_by_outcome",
         "draining",
+        "histogram",
         "in_flight",
         "registry",
+        "sends",
+        "sends_extra",
         "table",
         "vm_count",
         "wire",
@@ -68,6 +75,9 @@
         self.in_flight = 0
         self.vm_count = budget.VMS_ASSUMED
         self.count_by_outcome: dict[base.ResultCode, int] = {}
+        self.histogram = histogram.LatencyHistogram()
+        self.sends = 0
+        self.sends_extra = 0
         self._log = log
         self._budget_terms = budget_terms
         self._budget_by_service: dict[str, budget.ExtraBudget] = {}
@@ -252,6 +262,7 @@
     ) -> None:
         self.count_by_outcome[code] = self.count_by_outcome.get(code, 0) + 1
         took = self.clock.monotonic() - exchange.received_at
+        self.histogram.add(took)
         self._log.emit(
             base.Event.REQUEST_ENDED,
             request=ask.id.decode("latin-1"),
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -187,6 +187,8 @@
             if left <= 0.001 or self._done:
                 return None
             self._sends += 1
+            self._engine.sends += 1
+            self._engine.sends_extra += self._sends > 1
             return self._engine.wire.encode(
                 spec.request, spec.headers, leaf_id=leaf_id, wait_s=left
             )
--- /dev/null
+++ b/trefoilpier/forward/tests/test_gather.py
@@ -0,0 +1,149 @@
+"""Queries over many shards."""
+
+from standins import memory_tier
+from trefoilpier import http1
+
+
+def make(shards=10, **route):
+    made = memory_tier.MemoryTier()
+    made.set_routes(memory_tier.make_gather(shards, **route))
+    for shard in range(shards):
+        for k in range(3):
+            made.add_leaf(f"shard{shard}", f"s{shard}.{k}")
+    return made
+
+
+def parts(answer):
+    seals = http1.find_header(answer.headers, b"x-part-stamps") or b""
+    return [seal.strip() for seal in seals.split(b",") if seal.strip()]
+
+
+def missing(answer):
+    return int(http1.find_header(answer.headers, b"x-missing-parts"))
+
+
+def test_one_part_of_each_shard_merged_falling():
+    tier = make()
+    tier.ask("q1")
+    tier.clock.advance(0.3)
+    answer = tier.answers["q1"]
+    assert answer.status == 200
+    shards = {seal.split(b".")[0] for seal in parts(answer)}
+    assert len(shards) == len(parts(answer)) == 10
+    assert missing(answer) == 0
+    records = [answer.body[k : k + 16] for k in range(0, 80, 16)]
+    assert records == sorted(records, reverse=True)
+    assert len(answer.body) == 80
+
+
+def test_a_shard_without_leafs_is_said_to_be_missing_and_not_awaited():
+    tier = make()
+    for k in range(3):
+        tier.registry.gone(f"s4.{k}")
+    tier.ask("q1")
+    tier.clock.advance(0.3)
+    answer = tier.answers["q1"]
+    assert answer.status == 200
+    assert (len(parts(answer)), missing(answer)) == (9, 1)
+    assert answer.took_s < 0.05
+
+
+def test_below_the_least_coverage_is_refused_before_any_leaf_works():
+    tier = make()
+    for shard in (4, 5):
+        for k in range(3):
+            tier.registry.gone(f"s{shard}.{k}")
+    tier.ask("q1")
+    tier.clock.advance(0.3)
+    assert tier.answers["q1"].status == 503
+    assert tier.answers["q1"].took_s < 0.01
+    assert tier.runs_of("q1") == 0
+
+
+def test_a_paused_shard_is_left_out_just_before_the_objective():
+    tier = make()
+    for k in range(3):
+        tier.leaf_by_id[f"s7.{k}"].faults.paused = True
+    tier.ask("q1")
+    tier.clock.advance(0.5)
+    answer = tier.answers["q1"]
+    assert answer.status == 200
+    assert missing(answer) == 1
+    assert 0.1 < answer.took_s < 0.12
+
+
+def test_one_paused_leaf_is_hedged():
+    # Leafs pause 120 ms each 3 s: with ten shards a third of the queries
+    # meets one, and the objective is 118 ms.
+    tier = make()
+    for k in range(60):
+        tier.ask(f"warm{k}")
+        tier.clock.advance(0.05)
+    for shard in range(10):
+        tier.leaf_by_id[f"s{shard}.0"].faults.paused = True
+    tier.ask("q1")
+    tier.clock.advance(0.5)
+    answer = tier.answers["q1"]
+    assert (answer.status, missing(answer)) == (200, 0)
+    assert answer.took_s < 0.09
+
+
+def test_a_callers_second_try_has_less_of_the_objective_left():
+    tier = make()
+    for k in range(3):
+        tier.leaf_by_id[f"s7.{k}"].faults.paused = True
+    tier.ask("q1", wait_s=0.95)
+    tier.clock.advance(0.5)
+    assert tier.answers["q1"].took_s < 0.07
+
+
+def test_too_many_missing_parts_end_as_a_failure_not_as_unrun():
+    tier = make()
+    for shard in (1, 2, 3):
+        for k in range(3):
+            tier.leaf_by_id[f"s{shard}.{k}"].faults.paused = True
+    tier.ask("q1", wait_s=0.5)
+    tier.clock.advance(1.0)
+    assert tier.answers["q1"].status in (502, 504)
+
+
+def test_attempts_hold_for_each_shard():
+    tier = make()
+    for leaf in tier.leaf_by_id.values():
+        leaf.faults.lose_share = 0.5
+    for k in range(30):
+        tier.ask(f"q{k}")
+        tier.clock.advance(0.3)
+    for k in range(30):
+        for shard in range(10):
+            ran = sum(
+                tier.leaf_by_id[f"s{shard}.{j}"].runs.count(f"q{k}".encode())
+                for j in range(3)
+            )
+            assert ran <= 2
+
+
+def test_extra_sends_keep_to_the_budget_when_every_leaf_is_slow():
+    tier = make()
+    for leaf in tier.leaf_by_id.values():
+        leaf.faults.slow_factor = 12.0
+    for k in range(200):
+        tier.ask(f"q{k}")
+        tier.clock.advance(0.05)
+    for shard in range(10):
+        arrivals = sum(
+            len(tier.leaf_by_id[f"s{shard}.{j}"].requests) for j in range(3)
+        )
+        assert arrivals - 200 <= 0.2 * 200 + 54
+
+
+def test_a_route_change_in_flight_mixes_no_versions():
+    tier = make(shards=4, least=0.5)
+    for leaf in tier.leaf_by_id.values():
+        leaf.faults.slow_factor = 3.0
+    tier.ask("q1")
+    tier.clock.advance(0.01)
+    tier.set_routes(memory_tier.make_gather(2))
+    tier.clock.advance(0.3)
+    answer = tier.answers["q1"]
+    assert len(parts(answer)) + missing(answer) == 4
--- /dev/null
+++ b/trefoilpier/forward/tests/test_single.py
@@ -0,0 +1,217 @@
+"""Requests that one leaf answers."""
+
+import pytest
+
+from standins import memory_tier
+from trefoilpier import http1, routes
+
+
+def make(leafs=3, **route):
+    made = memory_tier.MemoryTier()
+    made.set_routes(memory_tier.make_route(**route))
+    for k in range(leafs):
+        made.add_leaf("s", f"leaf{k}")
+    return made
+
+
+def test_the_leafs_answer_comes_back_whole():
+    tier = make()
+    tier.ask("q1")
+    tier.clock.advance(0.2)
+    answer = tier.answers["q1"]
+    assert answer.status == 200
+    assert len(answer.body) == 64
+    assert http1.find_header(answer.headers, b"x-server-seal")
+    assert tier.runs_of("q1") == 1
+
+
+def test_the_request_reaches_the_leaf_unchanged():
+    tier = make(leafs=1)
+    tier.ask("q1", "/s/a%2Fb?x=1&y=%20", method="POST", body=b"\x00body")
+    tier.clock.advance(0.2)
+    seen = tier.leaf_by_id["leaf0"].requests[0]
+    assert (seen.method, seen.target) == (b"POST", b"/s/a%2Fb?x=1&y=%20")
+    assert seen.body == b"\x00body"
+    assert http1.find_header(seen.headers, b"x-expect-instance") == b"leaf0"
+    left_ms = int(http1.find_header(seen.headers, b"x-deadline-ms"))
+    assert 900 < left_ms <= 1000
+
+
+def test_unknown_routes_and_missing_configuration():
+    tier = make()
+    tier.ask("q1", "/other/1")
+    tier.clock.advance(0.2)
+    assert tier.answers["q1"].status == 404
+    tier.engine.table = None
+    tier.ask("q2")
+    tier.clock.advance(0.2)
+    assert tier.answers["q2"].status == 503
+    assert http1.find_header(tier.answers["q2"].headers, b"retry-after")
+
+
+def test_no_leaf_is_refused_at_once_with_a_time_to_come_back():
+    tier = make(leafs=0)
+    tier.ask("q1")
+    tier.clock.advance(0.05)
+    answer = tier.answers["q1"]
+    assert answer.status == 503
+    assert answer.took_s < 0.03
+    after = float(http1.find_header(answer.headers, b"retry-after"))
+    assert 0 < after <= 1.0 / 3
+
+
+def test_a_late_leaf_is_hedged_within_the_attempts():
+    tier = make()
+    for leaf in tier.leafs_of("s"):
+        leaf.faults.paused = True
+    tier.ask("q1", wait_s=1.0)
+    tier.clock.advance(0.006)
+    started = [leaf for leaf in tier.leafs_of("s") if leaf.requests]
+    for leaf in tier.leafs_of("s"):
+        if leaf not in started:
+            leaf.resume()
+    tier.clock.advance(0.3)
+    assert tier.answers["q1"].status == 200
+    assert tier.answers["q1"].took_s < 0.12
+    assert sum(len(leaf.requests) for leaf in tier.leafs_of("s")) == 2
+
+
+@pytest.mark.parametrize("fault", ["lose_share", "unsigned_share", "cut_share"])
+def test_a_request_that_may_not_repeat_runs_once_and_is_not_called_unrun(fault):
+    tier = make(repeatable=False)
+    for leaf in tier.leafs_of("s"):
+        setattr(leaf.faults, fault, 1.0)
+    tier.ask("q1", method="POST", body=b"x")
+    tier.clock.advance(2.0)
+    assert tier.answers["q1"].status == 502
+    assert tier.runs_of("q1") == 1
+
+
+@pytest.mark.parametrize("fault", ["lose_share", "unsigned_share", "cut_share"])
+def test_a_request_that_may_repeat_goes_to_another_leaf(fault):
+    tier = make()
+    for k in range(40):
+        bad = tier.leaf_by_id["leaf0"]
+        setattr(bad.faults, fault, 1.0)
+        tier.ask(f"q{k}")
+        tier.clock.advance(0.3)
+    assert all(answer.status == 200 for answer in tier.answers.values())
+
+
+def test_a_shed_request_is_sent_on_even_if_it_may_not_repeat():
+    tier = make(repeatable=False)
+    tier.leaf_by_id["leaf0"].faults.shed_share = 1.0
+    tier.leaf_by_id["leaf1"].faults.shed_share = 1.0
+    for k in range(20):
+        tier.ask(f"q{k}", method="POST")
+        tier.clock.advance(0.2)
+        assert tier.runs_of(f"q{k}") == 1
+    assert all(answer.status == 200 for answer in tier.answers.values())
+
+
+def test_a_leaf_that_sheds_without_need_is_avoided():
+    # Phuc Khang scale-1: 13 of 31 leafs shed 60 % of their requests for 9 s;
+    # each shed cost an attempt, and 16 % of the queries failed.
+    tier = make()
+    tier.leaf_by_id["leaf0"].faults.shed_share = 0.6
+    tier.leaf_by_id["leaf1"].faults.shed_share = 0.6
+    for k in range(300):
+        tier.ask(f"q{k}")
+        tier.clock.advance(0.03)
+    tier.clock.advance(1.0)
+    good = [a for a in tier.answers.values() if a.status == 200]
+    shed = sum(len(leaf.refused) for leaf in tier.leafs_of("s"))
+    assert len(good) == 300
+    assert shed < 60
+
+
+def test_another_leaf_at_the_address_is_not_asked_again():
+    tier = make(leafs=2)
+    tier.leaf_by_id["leaf0"].id = "stranger"
+    for k in range(10):
+        tier.ask(f"q{k}")
+        tier.clock.advance(0.1)
+    assert all(answer.status == 200 for answer in tier.answers.values())
+    assert len(tier.leaf_by_id["leaf0"].requests) <= 1
+
+
+def test_a_second_answer_is_nobodys():
+    tier = make(leafs=1)
+    tier.leaf_by_id["leaf0"].faults.extra_share = 1.0
+    bodies = set()
+    for k in range(10):
+        tier.ask(f"q{k}")
+        tier.clock.advance(0.1)
+        bodies.add(tier.answers[f"q{k}"].body)
+        assert tier.answers[f"q{k}"].status == 200
+    assert len(bodies) == 10
+
+
+def test_a_leafs_own_failure_is_handed_on_as_it_is():
+    tier = make()
+    for leaf in tier.leafs_of("s"):
+        leaf.faults.fail_share = 1.0
+    tier.ask("q1")
+    tier.clock.advance(0.5)
+    answer = tier.answers["q1"]
+    assert answer.status == 500
+    assert http1.find_header(answer.headers, b"x-server-seal")
+    assert tier.runs_of("q1") == 2
+
+
+def test_the_answer_comes_before_the_callers_deadline():
+    tier = make(timeout_s=4.0)
+    for leaf in tier.leafs_of("s"):
+        leaf.faults.paused = True
+    tier.ask("q1", wait_s=0.4)
+    tier.clock.advance(1.0)
+    assert tier.answers["q1"].status == 504
+    assert 0.35 < tier.answers["q1"].took_s <= 0.4
+
+
+def test_a_leaving_leaf_gets_nothing_new_and_ends_what_it_has():
+    tier = make(leafs=2)
+    tier.ask("q1")
+    tier.clock.advance(0.006)
+    busy = next(leaf for leaf in tier.leafs_of("s") if leaf.requests)
+    tier.registry.gone(busy.id)
+    for k in range(5):
+        tier.ask(f"r{k}")
+        tier.clock.advance(0.05)
+    assert tier.answers["q1"].status == 200
+    assert len(busy.requests) == 1
+
+
+def test_a_caller_that_leaves_takes_its_request_along():
+    tier = make(leafs=1)
+    leaf = tier.leaf_by_id["leaf0"]
+    leaf.faults.paused = True
+    tier.ask("q1", wait_s=0.01)
+    tier.clock.advance(1.2)
+    tier.ask("q2", wait_s=2.0)
+    tier.clock.advance(0.01)
+    callers = [t for t in tier.net.transports if t.peer.protocol is not None]
+    for transport in callers:
+        if isinstance(transport.peer.protocol, http1.server.ServerConnection):
+            transport.abortConnection()
+    tier.clock.advance(0.5)
+    assert tier.engine.in_flight == 0
+
+
+def test_a_split_keeps_its_weights():
+    tier = memory_tier.MemoryTier()
+    tier.set_routes(
+        memory_tier.make_route(
+            targets=(
+                routes.WeightedService(name="a", weight=7),
+                routes.WeightedService(name="b", weight=3),
+            )
+        )
+    )
+    tier.add_leaf("a", "a1")
+    tier.add_leaf("b", "b1")
+    for k in range(100):
+        tier.ask(f"q{k}")
+        tier.clock.advance(0.05)
+    assert len(tier.leaf_by_id["a1"].runs) == 70
+    assert len(tier.leaf_by_id["b1"].runs) == 30
--- a/trefoilpier/http1/client.py
+++ b/trefoilpier/http1/client.py
@@ -97,6 +97,7 @@
         self._in_message = False
         self._keep_alive = True
         self._out_of_step = False
+        self._malformed = False
         self._done: list[message.HttpResponse] = []
         self.open = False
         self.idle_since = 0.0
@@ -149,10 +150,10 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             # What came whole before the malformed bytes still counts.
-            self._out_of_step = True
+            self._malformed = True
         if self._done:
             self._hand_over()
-        elif self._out_of_step:
+        elif self._malformed:
             self._fail("malformed response")
 
     def on_message_begin(self) -> None:
@@ -226,7 +227,8 @@
     def _hand_over(self) -> None:
         """Gives the response away and frees or closes the connection."""
         response = self._done[0]
-        extra = len(self._done) > 1 or self._in_message or self._out_of_step
+        extra = len(self._done) > 1 or self._in_message
+        extra = extra or self._out_of_step or self._malformed
         self._done = []
         on_end, self._on_end = self._on_end, None
         self.idle_since = self._clock.monotonic()
@@ -264,7 +266,7 @@
         self._events.closed(self)
 
     def _whole_at_close(self) -> bool:
-        return self._in_message and self._until_close and not self._out_of_step
+        return self._in_message and self._until_close and not self._malformed
 
     def _fail(self, reason: str) -> None:
         on_end, self._on_end = self._on_end, None
--- a/trefoilpier/http1/server.py
+++ b/trefoilpier/http1/server.py
@@ -59,6 +59,11 @@
         self.received_at = received_at
         self.on_gone: Callable[[], None] | None = None
 
+    @property
+    def connection(self) -> "ServerConnection":
+        """The connection that it came over."""
+        return self._connection
+
     def respond(self, response: message.HttpResponse) -> None:
         """Writes the response; a second one is ignored."""
         self._connection.respond(self, response)
--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -22,6 +22,7 @@
 from trefoilpier.tier import (
     front_door,
     line_log,
+    metrics,
     pages,
     peer_feed,
     store_sync,
@@ -57,6 +58,7 @@
         "_feed",
         "_leafs",
         "_log",
+        "_metrics",
         "_peers",
         "_presence",
         "_relay",
@@ -109,6 +111,7 @@
             sync=self._sync,
         )
         self._peers = self._make_peer_watch()
+        self._metrics = self._make_metrics()
         self._door = front_door.FrontDoor(
             clock=self._clock,
             engine=self._engine,
@@ -369,7 +372,30 @@
         return http1.HttpResponse(status=200 if self.ready() else 503)
 
     def _metrics_page(self) -> http1.HttpResponse:
-        return http1.HttpResponse(status=200)
+        return http1.HttpResponse(
+            status=200,
+            headers=[(b"content-type", b"text/plain; version=0.0.4")],
+            body=self._metrics.render(),
+        )
+
+    def _make_metrics(self) -> metrics.TierMetrics:
+        return metrics.TierMetrics(
+            engine_by_role={
+                "gather": self._engine,
+                "relay": self._relay.engine,
+            },
+            gauges={
+                "config_version": lambda: max(
+                    self._sync.version, self._relay.version
+                ),
+                "store_calls_total": lambda: self._store.calls,
+                "store_current": lambda: self._sync.current,
+                "leafs_known": lambda: len(self._leafs.pool_by_id),
+                "vms_gathering": lambda: len(self._directory.vm_by_id),
+                "log_lines_dropped_total": lambda: self._log.dropped,
+                "draining": lambda: self._stopping,
+            },
+        )
 
     # Signals.
 
