--- a/trefoilpier/base/log.py
+++ b/trefoilpier/base/log.py
@@ -3,7 +3,6 @@
 import sys
 from typing import Any, TextIO
 
-import loguru
 import orjson
 import twisted.logger
 
@@ -47,6 +46,8 @@
         level: The lowest loguru level that is written.
         stream: Where lines go; standard error by default.
     """
+    import loguru  # noqa: PLC0415
+
     out = stream or sys.stderr
     render = _json_line if style == "json" else _human_line
 
@@ -82,6 +83,9 @@
 
     def __init__(self, *, level: str = "INFO") -> None:
         self._least = _LEVEL_NUMBERS[level]
+        # A VM of the tier writes its lines itself and starts sooner without.
+        import loguru  # noqa: PLC0415
+
         self._logger = loguru.logger
 
     def emit(self, event: events.Event, **fields: Any) -> None:
--- a/trefoilpier/fleet/gatherers.py
+++ b/trefoilpier/fleet/gatherers.py
@@ -103,7 +103,6 @@
         "_reactor",
         "_registry",
         "_rng",
-        "_seeds",
         "_store",
         "_zone",
         "directory",
@@ -121,7 +120,6 @@
         registry: replicas.LeafRegistry,
         own_id: str,
         zone: str,
-        seeds: tuple[tuple[str, int], ...],
         on_state: Callable[[directory.VmRecord, state_pages.FleetState], None],
     ) -> None:
         """Prepares the watch.
@@ -135,7 +133,6 @@
             registry: Takes the VMs that answer, as targets of requests.
             own_id: This VM.
             zone: VMs in this availability zone come first; empty for none.
-            seeds: State addresses of any VMs, for when the store is away.
             on_state: Called with each VM's news.
         """
         self._clock = clock
@@ -146,7 +143,6 @@
         self._registry = registry
         self._own_id = own_id
         self._zone = zone
-        self._seeds = seeds
         self._on_state = on_state
         self._link_by_id: dict[str, _Link] = {}
         self._down_until_by_id: dict[str, float] = {}
@@ -169,11 +165,6 @@
         """Whether a peer's change of leafs is news here."""
         return not self._zone
 
-    @property
-    def vms(self) -> list[directory.VmRecord]:
-        """The VMs that gather, as known here."""
-        return list(self.directory.vm_by_id.values())
-
     async def _find(self) -> None:
         """Reads the list from the store while nobody else tells it."""
         find_s = _FIND_S
@@ -187,24 +178,9 @@
                 )
                 if read.is_ok():
                     self._take_items(read.ok.items)
-                else:
-                    await self._ask_seeds()
             pause_s = _FIND_LATER_S if self.usable else find_s
             await self.sleep(pause_s * self._rng.uniform(0.8, 1.2))
 
-    async def _ask_seeds(self) -> None:
-        """Takes the list of VMs from any VM that has one."""
-        for host, port in self._seeds:
-            if self.directory.vm_by_id:
-                return
-            asker = self._make_asker(host, port)
-            outcome = await asker.ask(
-                b"GET", state_pages.STATE_PATH, timeout_s=_STATE_TIMEOUT_S
-            )
-            state = _read_state(outcome)
-            if state is not None and state.vms:
-                self._take_records(state.vms)
-
     def _take_items(self, items: list[store.Item]) -> None:
         decoded = [directory.decode_vm(item.value) for item in items]
         records = [each.ok for each in decoded if each.is_ok()]
@@ -256,11 +232,11 @@
 
     def make_asker(self, record: directory.VmRecord) -> http1.Asker:
         """Makes the client of one gatherer's state."""
-        return self._make_asker(record.host, record.state_port)
-
-    def _make_asker(self, host: str, port: int) -> http1.Asker:
         return http1.Asker(
-            reactor=self._reactor, clock=self._clock, host=host, port=port
+            reactor=self._reactor,
+            clock=self._clock,
+            host=record.host,
+            port=record.state_port,
         )
 
     def link_told(self, link: _Link, state: state_pages.FleetState) -> None:
--- a/trefoilpier/platform/boot.py
+++ b/trefoilpier/platform/boot.py
@@ -28,8 +28,6 @@
         zone: Its availability zone.
         callers: Where callers connect.
         readiness: Where the balancer asks whether this VM is ready.
-        peers: Where other VMs ask for this one's state.
-        seeds: The same of at most three VMs, which may be down.
         store: The platform's store.
         inner_ports: First and last free port for VMs among themselves.
         budget: Terms for extra sends to one service.
@@ -44,8 +42,6 @@
     zone: str
     callers: Address
     readiness: Address
-    peers: Address
-    seeds: tuple[tuple[str, int], ...]
     store: Address
     inner_ports: tuple[int, int]
     budget: forward.BudgetTerms
@@ -82,8 +78,6 @@
         zone=reader.text("zone"),
         callers=reader.address("listen-addrs.frontend"),
         readiness=reader.address("listen-addrs.ready"),
-        peers=reader.address("listen-addrs.control"),
-        seeds=reader.seeds("seeds"),
         store=reader.address("platform.address"),
         inner_ports=reader.ports("port-range"),
         budget=forward.BudgetTerms(
@@ -136,15 +130,6 @@
             return Address(host="", port=0)
         return Address(host=host, port=int(port))
 
-    def seeds(self, name: str) -> tuple[tuple[str, int], ...]:
-        """Reads addresses; a malformed one is left out."""
-        found = []
-        for value in self._value_by_name.get(name, "").split(","):
-            host, _, port = value.strip().rpartition(":")
-            if host and port.isdigit():
-                found.append((host, int(port)))
-        return tuple(found)
-
     def ports(self, name: str) -> tuple[int, int]:
         first, _, last = self.text(name).partition(",")
         if not first.isdigit() or not last.isdigit():
--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -187,7 +187,6 @@
             registry=registry,
             own_id=self._boot.node_id,
             zone=zone,
-            seeds=self._boot.seeds,
             on_state=on_state,
         )
 
@@ -201,7 +200,6 @@
         page_server = pages.PageServer(page_by_path=pages_by_path)
         self._listen(boot.callers, self._door)
         self._listen(boot.readiness, page_server)
-        self._listen(boot.peers, self._state_pages)
         self._listen_metrics(page_server)
         if self._can_gather():
             self._start_gathering()
@@ -272,11 +270,15 @@
     def _start_gathering(self) -> None:
         boot = self._boot
         relay_port = boot.inner_ports[0]
+        state_port = relay_port + 1
         host = boot.callers.host
         self._listen(
             platform.Address(host=host, port=relay_port),
             fleet.RelayDoor(engine=self._engine),
         )
+        self._listen(
+            platform.Address(host=host, port=state_port), self._state_pages
+        )
         started_ms = int(self._clock.utc_now().timestamp() * 1000)
         self._presence = fleet.Presence(
             clock=self._clock,
@@ -287,7 +289,7 @@
                 zone=boot.zone,
                 host=host,
                 relay_port=relay_port,
-                state_port=boot.peers.port,
+                state_port=state_port,
                 started_ms=started_ms,
             ),
             lease_least_s=boot.lease_least_s,
@@ -333,7 +335,7 @@
             limits=table.limits if table else http1.CallerLimits(),
             vm_generation=self._directory.generation,
             leaf_generation=self._leafs.generation,
-            vms=self._gatherers() or self._relay.watch.vms,
+            vms=self._gatherers(),
         )
 
     def _take_state(
