Admission by the expected time of each service; lanes by due time

Cause: a request was admitted whenever any leaf was known, and in a burst waited until its deadline passed. Change: pure decisions in forward/admission.py and lane.py: the expected time of a service is the wait in its lane (calls that wait times the usual interval between two that leave) and the best leaf's time now; a request is refused at once, unrun, when too few services can answer while the caller waits. Ruled out: refusing by the objective (a late answer is still delivered).

--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -11,6 +11,7 @@
     service_call,
     single_run,
     split,
+    straggler,
 )
 from trefoilpier.forward import wire as wires
 
@@ -103,7 +104,8 @@
         """Returns the waiting calls of a service."""
         known = self._lane_by_service.get(service)
         if known is None:
-            known = self._lane_by_service[service] = lane.ServiceLane()
+            known = lane.ServiceLane(clock=self.clock)
+            self._lane_by_service[service] = known
         return known
 
     def usual(self, route: routes.Route) -> latency.UsualLatency:
@@ -176,6 +178,12 @@
             ask=ask,
             route=route,
             deadline=exchange.received_at + wait_s,
+            due=straggler.cut_at(
+                received_at=exchange.received_at,
+                waited_s=max(0.0, route.timeout_s - wait_s),
+                network_s=exchange.request.network_s,
+                objective_s=route.objective_s,
+            ),
         )
         services = self._targets(route)
         verdict = admission.admit(self._admission_view(route, services, wait_s))
@@ -207,19 +215,34 @@
         self, route: routes.Route, services: tuple[str, ...], wait_s: float
     ) -> admission.AdmissionView:
         now = self.clock.monotonic()
-        usable = 0
-        for service in services:
-            pools = self.registry.pools_by_service.get(service, ())
-            if any(not pool.stats.ejected(now) for pool in pools):
-                usable += 1
-        least = route.gather.coverage_least if route.gather else 1.0
+        usual_s = self.usual(route).median_s
         return admission.AdmissionView(
-            services=len(services),
-            usable=usable,
-            coverage_least=least,
+            services=tuple(
+                self._service_view(service, usual_s, now)
+                for service in services
+            ),
+            coverage_least=(
+                route.gather.coverage_least if route.gather else 1.0
+            ),
             wait_s=wait_s,
         )
 
+    def _service_view(
+        self, service: str, usual_s: float, now: float
+    ) -> admission.ServiceView:
+        pools = self.registry.pools_by_service.get(service, ())
+        costs = [
+            pool.stats.expected_cost(now)
+            for pool in pools
+            if not pool.stats.ejected(now)
+        ]
+        waiting = self._lane_by_service.get(service)
+        wait_s = waiting.expected_wait_s if waiting is not None else 0.0
+        best = min(costs, default=0.0)
+        return admission.ServiceView(
+            usable=bool(costs), expected_s=wait_s + best * usual_s
+        )
+
     def _refuse(
         self,
         exchange: http1.Exchange,
--- a/trefoilpier/forward/gather_run.py
+++ b/trefoilpier/forward/gather_run.py
@@ -57,18 +57,9 @@
         clock = self._engine.clock
         now = clock.monotonic()
         spec = self._spec
-        waited = 0.0
-        if spec.ask.wait_s is not None:
-            waited = max(0.0, spec.route.timeout_s - spec.ask.wait_s)
-        cut = straggler.cut_at(
-            received_at=self._exchange.received_at,
-            waited_s=waited,
-            network_s=spec.request.network_s,
-            objective_s=spec.route.objective_s,
-        )
         end = spec.deadline - _END_MARGIN_S
         self._timers = [
-            clock.call_later(min(cut, end) - now, self._cut),
+            clock.call_later(min(spec.due, end) - now, self._cut),
             clock.call_later(end - now, self._timed_out),
         ]
         self._exchange.on_gone = self._caller_left
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -53,6 +53,7 @@
         ask: What the caller says beside it.
         route: The pinned route.
         deadline: Monotonic instant at which the caller's time is up.
+        due: Monotonic instant at which the answer loses its full value.
     """
 
     request: http1.HttpRequest
@@ -60,6 +61,7 @@
     ask: wires.CallerAsk
     route: routes.Route
     deadline: float
+    due: float
 
 
 class ServiceCall(lane.Waiter):
@@ -174,7 +176,7 @@
             return
         self._waiting = True
         self._engine.lane(self._service).wait(
-            self, rank=self._spec.route.rank, deadline=self._spec.deadline
+            self, rank=self._spec.route.rank, due=self._spec.due
         )
 
     def _send(self, pool: replicas.LeafPool) -> None:
--- /dev/null
+++ b/trefoilpier/forward/tests/test_worst_load.py
@@ -0,0 +1,169 @@
+"""How work waits, is placed and is turned away at the worst load."""
+
+import pytest
+
+from standins import memory_tier
+from trefoilpier import base, forward, http1, routes
+from trefoilpier.forward import admission, lane
+
+NO_EXTRA = forward.BudgetTerms(share=0.0, window_s=10.0, allowance=0.0)
+
+
+def view(*expected, least=0.89, wait_s=1.0, unusable=0):
+    services = [
+        admission.ServiceView(usable=True, expected_s=each) for each in expected
+    ]
+    services += [admission.ServiceView(usable=False, expected_s=0.0)] * unusable
+    return admission.AdmissionView(
+        services=tuple(services), coverage_least=least, wait_s=wait_s
+    )
+
+
+@pytest.mark.parametrize(
+    ("case", "code"),
+    [
+        (view(*[0.1] * 10), None),
+        # One slow shard of ten is left out; two are one too many.
+        (view(*[0.1] * 9, 5.0), None),
+        (view(*[0.1] * 8, 5.0, 5.0), base.ResultCode.OVERLOADED),
+        (view(*[0.1] * 9, unusable=1), None),
+        (view(*[0.1] * 8, unusable=2), base.ResultCode.NO_LEAF),
+        (view(*[0.1] * 8, 5.0, unusable=1), base.ResultCode.OVERLOADED),
+        (view(0.9, least=1.0), None),
+        (view(1.1, least=1.0), base.ResultCode.OVERLOADED),
+        (view(least=1.0, unusable=1), base.ResultCode.NO_LEAF),
+    ],
+)
+def test_what_is_admitted(case, code):
+    refusal = admission.admit(case)
+    assert (refusal.code if refusal else None) == code
+    if refusal:
+        assert 0 < refusal.retry_after_s <= case.wait_s / 3
+
+
+class Waiter(lane.Waiter):
+    def __init__(self, name, started):
+        self.name = name
+        self.started = started
+        self.room = True
+
+    @property
+    def still_waiting(self):
+        return self.name not in self.started
+
+    def resume(self):
+        if not self.room:
+            return False
+        self.started.append(self.name)
+        return True
+
+
+def test_urgent_calls_go_first_and_no_kind_is_starved():
+    waiting = lane.ServiceLane(clock=base.VirtualClock())
+    started = []
+    for k in range(40):
+        rank = 2 if k % 4 == 0 else 1
+        waiting.wait(Waiter((rank, k), started), rank=rank, due=0.1 + 0.02 * k)
+    waiting.resume()
+    first = [rank for rank, _ in started[:20]]
+    assert first.count(1) > 15
+    assert first.count(2) >= 3
+
+
+def test_the_expected_wait_grows_while_nothing_leaves():
+    clock = base.VirtualClock()
+    waiting = lane.ServiceLane(clock=clock)
+    for k in range(10):
+        waiting.wait(Waiter(k, []), rank=1, due=float(k))
+    before = waiting.expected_wait_s
+    clock.advance(3.0)
+    assert waiting.expected_wait_s > 2.5 > before
+
+
+def make(**route):
+    tier = memory_tier.MemoryTier(budget=NO_EXTRA)
+    tier.set_routes(memory_tier.make_route(**route))
+    for k in range(2):
+        tier.add_leaf("s", f"leaf{k}", work_s=0.02)
+    return tier
+
+
+def test_a_burst_beyond_the_slots_is_refused_early_and_served_to_the_end():
+    # Two leafs with two slots of 20 ms carry 200 requests a second. 600 a
+    # second come for three seconds, with a second to wait.
+    tier = make()
+    for k in range(1800):
+        tier.ask(f"q{k}", wait_s=1.0)
+        tier.clock.advance(1 / 600)
+    tier.clock.advance(3.0)
+    answers = list(tier.answers.values())
+    served = [a for a in answers if a.status == 200]
+    refused = [a for a in answers if a.status == 503]
+    assert len(served) > 0.8 * 3 * 200
+    assert len(answers) - len(served) - len(refused) < 0.05 * len(answers)
+    early = [a for a in refused if a.took_s < 0.03]
+    assert len(early) > 0.8 * len(refused)
+    assert all(http1.find_header(a.headers, b"retry-after") for a in refused)
+
+
+def test_what_is_refused_has_not_run():
+    tier = make(repeatable=False)
+    for leaf in tier.leafs_of("s"):
+        leaf.faults.slow_factor = 5.0
+    for k in range(400):
+        tier.ask(f"q{k}", wait_s=0.8, method="POST")
+        tier.clock.advance(1 / 200)
+    tier.clock.advance(2.0)
+    refused = [n for n, a in tier.answers.items() if a.status in (429, 503)]
+    assert refused
+    assert all(tier.runs_of(name) == 0 for name in refused)
+    assert all(tier.runs_of(name) <= 1 for name in tier.answers)
+
+
+def test_service_returns_once_the_burst_is_over():
+    tier = make()
+    for k in range(1000):
+        tier.ask(f"q{k}", wait_s=1.0)
+        tier.clock.advance(1 / 600)
+    tier.clock.advance(1.5)
+    for k in range(50):
+        tier.ask(f"after{k}", wait_s=1.0)
+        tier.clock.advance(0.02)
+    tier.clock.advance(1.0)
+    after = [tier.answers[f"after{k}"].status for k in range(50)]
+    assert after.count(200) == 50
+
+
+def test_one_slow_shard_does_not_refuse_queries_that_can_do_without():
+    tier = memory_tier.MemoryTier(budget=NO_EXTRA)
+    tier.set_routes(memory_tier.make_gather(10, objective_s=0.1))
+    for shard in range(10):
+        for k in range(2):
+            tier.add_leaf(f"shard{shard}", f"s{shard}.{k}", work_s=0.01)
+    for k in range(2):
+        tier.leaf_by_id[f"s3.{k}"].faults.slow_factor = 100.0
+    for k in range(200):
+        tier.ask(f"q{k}")
+        tier.clock.advance(0.02)
+    tier.clock.advance(2.0)
+    statuses = [answer.status for answer in tier.answers.values()]
+    assert statuses.count(200) == 200
+
+
+def test_weights_hold_while_one_part_is_short_of_room():
+    tier = memory_tier.MemoryTier(budget=NO_EXTRA)
+    tier.set_routes(
+        memory_tier.make_route(
+            targets=(
+                routes.WeightedService(name="a", weight=1),
+                routes.WeightedService(name="b", weight=1),
+            )
+        )
+    )
+    tier.add_leaf("a", "a1", work_s=0.002)
+    tier.add_leaf("b", "b1", work_s=0.2)
+    for k in range(400):
+        tier.ask(f"q{k}")
+        tier.clock.advance(0.005)
+    tier.clock.advance(2.0)
+    assert abs(len(tier.leaf_by_id["a1"].runs) - 200) <= 1
