--- a/trefoilpier/forward/gather_run.py
+++ b/trefoilpier/forward/gather_run.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from trefoilpier.forward import engine as engines
 
+_MISSING_LOGGED_MAX = 6  # Bounds one line of the log.
 _END_MARGIN_S = 0.005  # The answer must reach the caller before its deadline.
 
 
@@ -23,6 +24,7 @@
         "_open",
         "_part_by_seal",
         "_past_cut",
+        "_present",
         "_ran",
         "_reason",
         "_spec",
@@ -43,6 +45,7 @@
         self._spec = spec
         self._gather = spec.route.gather
         self._part_by_seal: dict[bytes, bytes] = {}
+        self._present: set[str] = set()
         self._open = len(self._gather.services)
         self._past_cut = False
         self._done = False
@@ -89,6 +92,7 @@
             # A signature that comes twice cannot belong to both shards.
             if answer.seal not in self._part_by_seal:
                 self._part_by_seal[answer.seal] = answer.response.body
+                self._present.add(call.service)
         elif result.reason:
             self._reason = f"{call.service}: {result.reason}"
         if not self._starting:
@@ -165,10 +169,22 @@
             "shards": len(self._gather.services),
             "present": len(self._part_by_seal),
             "sends": sends,
+            "missing": self._missing_leafs(),
             "reason": self._reason,
         }
         self._engine.finish(self._exchange, self._spec, code, response, fields)
 
+    def _missing_leafs(self) -> dict[str, list[str]]:
+        """Returns the leafs asked for missing parts, for the log."""
+        missing = [
+            call
+            for call in self._call_by_service.values()
+            if call.service not in self._present
+        ]
+        return {
+            call.service: call.asked for call in missing[:_MISSING_LOGGED_MAX]
+        }
+
     def _caller_left(self) -> None:
         self._stop()
         self._engine.caller_left(self._spec, self._exchange.received_at)
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -121,6 +121,11 @@
         """The service that is asked."""
         return self._service
 
+    @property
+    def asked(self) -> list[str]:
+        """Ids of the leafs that were chosen, for the log."""
+        return sorted(self._tried)
+
     @property
     def sends(self) -> int:
         """Leafs that the request was sent to."""
--- a/trefoilpier/forward/single_run.py
+++ b/trefoilpier/forward/single_run.py
@@ -97,6 +97,7 @@
         fields = {
             "service": self._call.service,
             "leaf": leaf_id,
+            "asked": self._call.asked,
             "sends": self._call.sends,
             "reason": reason,
         }
--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -37,6 +37,7 @@
 # The balancer asks once a second and takes a VM out after two misses.
 _BALANCER_LAG_S = 2.6
 _STOP_MARGIN_S = 0.6  # Left of the grace period for the last writes.
+_READY_CHECK_S = 0.1
 _READY_WAIT_S = 1.5  # Longest wait for leafs once the routes are known.
 _SHRINK_S = 15.0  # Longer than entries of live VMs stay lapsed.
 _RELAY_CONNECTIONS = 512  # To one gatherer; one for each request in flight.
@@ -212,6 +213,7 @@
             gathers=self._gathers(),
         )
         self._warm()
+        self._announce_ready()
         # The reactor installs handlers of its own when it starts to run.
         reactor.callWhenRunning(self._install_signals)
 
@@ -370,6 +372,18 @@
             for service in table.used_services
         )
 
+    def _announce_ready(self) -> None:
+        """Writes one line when callers can be served."""
+        if self.ready():
+            self._log.emit(
+                base.Event.READY,
+                node=self._boot.node_id,
+                relays=self._door.relays,
+                version=max(self._sync.version, self._relay.version),
+            )
+        elif not self._stopping:
+            self._clock.call_later(_READY_CHECK_S, self._announce_ready)
+
     def _ready_page(self) -> http1.HttpResponse:
         return http1.HttpResponse(status=200 if self.ready() else 503)
 
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -270,12 +270,13 @@
         return []
 
     def _answered(self) -> None:
-        self._doubt = False
         self._pause_s = _RETRY_FIRST_S
+        if self._doubt:
+            self._doubt = False
+            self._log.emit(base.Event.STORE_UP, version=self.version)
         if self._lost:
             self._lost = False
             self._registry.store_back()
-            self._log.emit(base.Event.STORE_UP)
 
     async def _failed(self, failure: base.Failure) -> None:
         self._doubt = True
