--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -22,7 +22,9 @@
         self._answered = False
         self.method = method
         self.path = parsed.path
-        self.query = dict(urllib.parse.parse_qsl(parsed.query))
+        self.query = dict(
+            urllib.parse.parse_qsl(parsed.query, keep_blank_values=True)
+        )
         self.body = body
 
     def answer(self, row: Any, status: int = 200) -> None:
--- a/standins/opaque_leaf.py
+++ b/standins/opaque_leaf.py
@@ -38,6 +38,15 @@
     paused: bool = False
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LeafAnswer:
+    """One signed answer of a leaf."""
+
+    request_id: bytes
+    status: int
+    body: bytes
+
+
 class OpaqueLeaf(http1.RequestHandler):
     """Runs requests in slots, with a queue before them.
 
@@ -46,6 +55,7 @@
         runs: Ids of the requests that it began to work on.
         refused: Ids of those that it refused unprocessed.
         requests: The requests as received.
+        answer_by_seal: What it answered, by its signature.
     """
 
     __slots__ = (
@@ -55,6 +65,7 @@
         "_rng",
         "_running",
         "_work_s",
+        "answer_by_seal",
         "faults",
         "id",
         "queue_max",
@@ -87,6 +98,7 @@
         self.runs: list[bytes] = []
         self.refused: list[bytes] = []
         self.requests: list[http1.HttpRequest] = []
+        self.answer_by_seal: dict[bytes, LeafAnswer] = {}
 
     def factory(self) -> http1.ServerFactory:
         """Returns what listens for it."""
@@ -170,6 +182,9 @@
             headers = []
         body = self._rng.randbytes(_RECORD_BYTES * 4)
         response = http1.HttpResponse(status=status, headers=headers, body=body)
+        self.answer_by_seal[seal.encode()] = LeafAnswer(
+            request_id=self._id_of(exchange), status=status, body=body
+        )
         if draw() < self.faults.cut_share:
             data = http1.encode_response(response, close=False)
             connection.transport.write(data[: len(data) // 2])
--- /dev/null
+++ b/standins/published.py
@@ -0,0 +1,131 @@
+"""Texts of the published protocol, as operators, leafs and callers write them.
+
+Tests and the soak use these, so that they need not know the names.
+"""
+
+from dataclasses import dataclass
+
+import orjson
+
+from trefoilpier import http1, platform
+
+BOOT_VARIABLE = platform.BOOT_VARIABLE
+ROUTES_KEY = platform.ROUTES_KEY
+LEAF_PREFIX = platform.LEAF_PREFIX
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class VmPorts:
+    """Where one VM listens, on its own IP number."""
+
+    host: str
+    callers: int
+    readiness: int
+    inner: int
+
+
+def boot_text(
+    *, name: str, zone: str, ports: VmPorts, store: str, cores: float = 1.5
+) -> str:
+    """Returns the settings file of one VM."""
+    row = {
+        "node-name": name,
+        "zone": zone,
+        "listen-addrs.frontend": f"{ports.host}:{ports.callers}",
+        "listen-addrs.ready": f"{ports.host}:{ports.readiness}",
+        "port-range": f"{ports.inner},{ports.inner + 15}",
+        "limits.cpu-share": cores,
+        "limits.cores": 1,
+        "limits.link-mbps": 1000,
+        "bounds.drain-ms": 3000,
+        "bounds.grace-s": 6,
+        "bounds.retry-ratio": 0.2,
+        "bounds.budget-window-s": 10,
+        "bounds.retry-extra": 54,
+        "platform.address": store,
+        "platform.ttl-min-ms": 1000,
+    }
+    return "".join(f"{key}={value}\n" for key, value in row.items())
+
+
+def leaf_value(
+    *, service: str, address: str, zone: str, slots: int, leaving: bool
+) -> str:
+    """Returns a leaf's entry."""
+    row = {
+        "service": service,
+        "address": address,
+        "zone": zone,
+        "max-concurrency": slots,
+        "state": "draining" if leaving else "ready",
+        "warmup-left-ms": 0,
+        "born": 1,
+    }
+    return orjson.dumps(row).decode()
+
+
+def routes_value(*, version: int, shards: list[str], single: str) -> str:
+    """Returns a configuration: a gathered route, a plain and an unsafe one."""
+    common = {"host": "soak.example", "max-attempts": 2, "priority": 1}
+    rows = [
+        {
+            **common,
+            "name": "gather",
+            "prefix": "/g/",
+            "type": "safe",
+            "timeout-ms": 1500,
+            "target-latency-ms": 300,
+            "gather": shards,
+            "top-k": 5,
+            "min-coverage": 0.7,
+        },
+        {
+            **common,
+            "name": "read",
+            "prefix": "/r/",
+            "type": "safe",
+            "timeout-ms": 1500,
+            "target-latency-ms": 300,
+            "service": single,
+        },
+        {
+            **common,
+            "name": "write",
+            "prefix": "/w/",
+            "type": "unsafe",
+            "timeout-ms": 1500,
+            "target-latency-ms": 300,
+            "service": single,
+        },
+    ]
+    services = [
+        {"name": name, "health-path": "/health", "max-conns": 60}
+        for name in [*shards, single]
+    ]
+    row = {
+        "version": version,
+        "routes": rows,
+        "services": services,
+        "limits": {},
+    }
+    return orjson.dumps(row).decode()
+
+
+def ask_headers(request_id: str, wait_ms: int) -> http1.Headers:
+    """Returns a caller's headers."""
+    return [
+        (b"x-request-id", request_id.encode()),
+        (b"x-deadline-ms", b"%d" % wait_ms),
+    ]
+
+
+def seal_of(headers: http1.Headers) -> bytes | None:
+    """Returns the signature of a leaf's answer."""
+    return http1.find_header(headers, b"x-server-seal")
+
+
+def parts_of(headers: http1.Headers) -> tuple[list[bytes], int]:
+    """Returns the signatures of a gathered answer and what is missing."""
+    seals = http1.find_header(headers, b"x-part-stamps") or b""
+    missing = http1.find_header(headers, b"x-missing-parts") or b"0"
+    return [each.strip() for each in seals.split(b",") if each], int(missing)
--- a/trefoilpier/http1/asker.py
+++ b/trefoilpier/http1/asker.py
@@ -93,12 +93,12 @@
     ) -> "defer.Deferred[client.Exchanged | client.Lost]":
         """Makes one call; the Deferred never fails."""
         self.calls += 1
-        host = (b"host", f"{self._host}:{self._port}".encode())
+        given = list(headers or [])
+        if message.find_header(given, b"host") is None:
+            given.append((b"host", f"{self._host}:{self._port}".encode()))
         call = _Call(
             method=method,
-            data=message.encode_request(
-                method, target, [host, *(headers or [])], body
-            ),
+            data=message.encode_request(method, target, given, body),
         )
         call.timer = self._clock.call_later(timeout_s, call.time_out)
         while self._idle:
