The daemon in two modules; tests of store, presence, peers, lines; demo of the platform

Cause: one module of 490 lines held sockets, signals and all controllers; the store's client, registration, peers and the log had no tests of their own; the demo showed only the present interface. Change: tier/vm.py wires the controllers, tier/daemon.py holds sockets, pages and signals. Tests against the stand-in store over a network in memory. The scene of real VMs moved from the soak to standins/tier_world.py; bin/demo shows it. Ruled out: nothing.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,8 +5,7 @@
 
 from twisted.internet import reactor
 
-from soak import world
-from standins import published
+from standins import published, tier_world
 from trefoilpier import base, http1
 
 _WAIT_MS = 1500
@@ -54,7 +53,7 @@
     )
 
     def __init__(
-        self, *, rng: random.Random, soak_world: world.World, rate: float
+        self, *, rng: random.Random, soak_world: tier_world.World, rate: float
     ) -> None:
         self._rng = rng
         self._world = soak_world
@@ -71,7 +70,7 @@
         self.seen: list[Seen] = []
         self.stopped = False
 
-    def _asker(self, vm: world.Vm, port: int) -> http1.Asker:
+    def _asker(self, vm: tier_world.Vm, port: int) -> http1.Asker:
         return http1.Asker(
             reactor=reactor, clock=self._clock, host=vm.ports.host, port=port
         )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,8 +3,8 @@
 import collections
 from collections.abc import Iterable
 
-from soak import callers, world
-from standins import opaque_leaf, published
+from soak import callers
+from standins import opaque_leaf, published, tier_world
 
 _NOT_RUN = frozenset((408, 421, 429, 503))
 _RECORD_BYTES = 16
@@ -14,7 +14,7 @@
 
 
 def check_all(
-    soak_world: world.World,
+    soak_world: tier_world.World,
     seen: list[callers.Seen],
     *,
     recovered_from: float,
@@ -31,7 +31,7 @@
 
 
 def _check_runs(
-    soak_world: world.World, seen: list[callers.Seen]
+    soak_world: tier_world.World, seen: list[callers.Seen]
 ) -> Iterable[str]:
     """At most one run of what may not repeat; no run of what was refused."""
     runs = collections.Counter(
@@ -51,7 +51,7 @@
 
 
 def _check_answers(
-    soak_world: world.World, seen: list[callers.Seen]
+    soak_world: tier_world.World, seen: list[callers.Seen]
 ) -> Iterable[str]:
     answer_by_seal: dict[bytes, opaque_leaf.LeafAnswer] = {}
     service_by_seal: dict[bytes, str] = {}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,8 +7,7 @@
 
 from twisted.internet import reactor
 
-from soak import proxy, world
-from standins import opaque_leaf
+from standins import link_proxy, opaque_leaf, tier_world
 
 _GAP_S = (0.3, 2.0)
 _LAST_S = (0.5, 4.0)
@@ -36,7 +35,7 @@
         self,
         *,
         rng: random.Random,
-        soak_world: world.World,
+        soak_world: tier_world.World,
         now: Callable[[], float],
     ) -> None:
         self._rng = rng
@@ -56,9 +55,9 @@
         self._world.model.faults.slow_s = 0.0
         for vm in self._world.vms:
             vm.send_signal(signal.SIGCONT)
-            vm.store_link.fault = proxy.LinkFault.NONE
+            vm.store_link.fault = link_proxy.LinkFault.NONE
         for each in self._world.leaf_by_id.values():
-            each.link.fault = proxy.LinkFault.NONE
+            each.link.fault = link_proxy.LinkFault.NONE
             each.leaf.faults = opaque_leaf.LeafFaults()
             each.leaf.resume()
 
@@ -144,9 +143,9 @@
             vm.send_signal(signal.SIGKILL)
         return "all VMs killed"
 
-    def _break_link(self, link: proxy.FaultProxy, seconds: float) -> str:
-        kind = self._rng.choice((*proxy.LinkFault, "reset"))
-        if kind in ("reset", proxy.LinkFault.NONE):
+    def _break_link(self, link: link_proxy.FaultProxy, seconds: float) -> str:
+        kind = self._rng.choice((*link_proxy.LinkFault, "reset"))
+        if kind in ("reset", link_proxy.LinkFault.NONE):
             link.reset_all()
             return "reset"
         link.fault = kind
@@ -154,7 +153,7 @@
 
         def end() -> None:
             # Bytes were dropped: what is open now stays out of step.
-            link.fault = proxy.LinkFault.NONE
+            link.fault = link_proxy.LinkFault.NONE
             link.reset_all()
 
         self._later(seconds, end)
--- a/soak/main.py
+++ b/soak/main.py
@@ -11,7 +11,8 @@
 
 from twisted.internet import defer, reactor
 
-from soak import callers, checks, faults, world
+from soak import callers, checks, faults
+from standins import tier_world
 from trefoilpier import base
 
 _RECOVERY_S = 8.0  # The users allow 12 s; VMs start within one here.
@@ -34,7 +35,7 @@
 async def _soak(args: argparse.Namespace, seed: int, folder: str) -> list[str]:
     clock = base.ReactorClock(reactor=reactor)
     rng = random.Random(seed)
-    soak_world = world.World(
+    soak_world = tier_world.World(
         rng=random.Random(rng.random()),
         directory=pathlib.Path(folder),
         vm_count=args.vms,
--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -52,6 +52,11 @@
         self._last_at = max(self._last_at, now + self._delay_s)
         self._clock.call_later(self._last_at - now, callback, *args)
 
+    @property
+    def connected(self) -> bool:
+        """Whether this end is open."""
+        return self._open
+
     def write(self, data: bytes) -> None:
         """Sends bytes."""
         if self._open and not self.disconnecting:
--- a/soak/world.py
+++ b/standins/tier_world.py
@@ -1,4 +1,4 @@
-"""The store, the leafs, the links and the VMs of one soak."""
+"""Real VMs as processes; their store, leafs and links in this one."""
 
 import os
 import pathlib
@@ -10,9 +10,9 @@
 
 from twisted.internet import error, protocol, reactor
 
-from soak import proxy
 from standins import (
     httpd,
+    link_proxy,
     opaque_leaf,
     platform,
     platform_model,
@@ -48,7 +48,7 @@
 
     Attributes:
         starts: Processes so far.
-        unplanned_ends: Ends that no signal of the soak explains.
+        unplanned_ends: Ends that no signal from here explains.
         output: What the processes wrote.
     """
 
@@ -70,7 +70,7 @@
         *,
         name: str,
         ports: published.VmPorts,
-        store_link: proxy.FaultProxy,
+        store_link: link_proxy.FaultProxy,
         directory: pathlib.Path,
     ) -> None:
         self.name = name
@@ -130,7 +130,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class SoakLeaf:
+class WorldLeaf:
     """A leaf with its link.
 
     Attributes:
@@ -139,7 +139,7 @@
 
     leaf: opaque_leaf.OpaqueLeaf
     service: str
-    link: proxy.FaultProxy
+    link: link_proxy.FaultProxy
     address: str
     zone: str
     leaving_at: float | None = None
@@ -170,7 +170,7 @@
         self._port = base_port
         self._clock = base.ReactorClock(reactor=reactor)
         self.model = platform_model.PlatformModel(clock=self._clock)
-        self.leaf_by_id: dict[str, SoakLeaf] = {}
+        self.leaf_by_id: dict[str, WorldLeaf] = {}
         self.sets: list[tuple[str, ...]] = []
         self.version = 0
         self._shard_count = shard_count
@@ -190,7 +190,7 @@
 
     def _add_vm(self, k: int) -> None:
         host = f"127.1.0.{k + 1}"
-        link = proxy.FaultProxy(target=("127.4.0.1", self._port))
+        link = link_proxy.FaultProxy(target=("127.4.0.1", self._port))
         store_host = f"127.4.1.{k + 1}"
         reactor.listenTCP(self._port, link, interface=store_host)
         ports = published.VmPorts(
@@ -264,9 +264,9 @@
         host = f"127.2.{high}.{low + 1}"
         link_host = f"127.3.{high}.{low + 1}"
         reactor.listenTCP(self._port, leaf.factory(), interface=host)
-        link = proxy.FaultProxy(target=(host, self._port))
+        link = link_proxy.FaultProxy(target=(host, self._port))
         reactor.listenTCP(self._port, link, interface=link_host)
-        made = SoakLeaf(
+        made = WorldLeaf(
             leaf=leaf,
             service=service,
             link=link,
@@ -276,15 +276,15 @@
         self.leaf_by_id[leaf_id] = made
         self._write(made)
 
-    def _write(self, soak_leaf: SoakLeaf) -> None:
+    def _write(self, world_leaf: WorldLeaf) -> None:
         self.model.put(
-            published.LEAF_PREFIX + soak_leaf.leaf.id,
+            published.LEAF_PREFIX + world_leaf.leaf.id,
             published.leaf_value(
-                service=soak_leaf.service,
-                address=soak_leaf.address,
-                zone=soak_leaf.zone,
-                slots=soak_leaf.leaf.slots,
-                leaving=soak_leaf.leaving_at is not None,
+                service=world_leaf.service,
+                address=world_leaf.address,
+                zone=world_leaf.zone,
+                slots=world_leaf.leaf.slots,
+                leaving=world_leaf.leaving_at is not None,
             ),
             None,
             "",
@@ -308,19 +308,19 @@
             if self._rng.random() < share:
                 self.model.delete(published.LEAF_PREFIX + leaf_id)
 
-    def drain(self, soak_leaf: SoakLeaf) -> None:
+    def drain(self, world_leaf: WorldLeaf) -> None:
         """Lets a leaf leave and starts another in its place."""
-        self.add_leaf(soak_leaf.service)
-        soak_leaf.leaving_at = self._clock.monotonic()
-        self._write(soak_leaf)
-        reactor.callLater(6.0, self._remove, soak_leaf)
+        self.add_leaf(world_leaf.service)
+        world_leaf.leaving_at = self._clock.monotonic()
+        self._write(world_leaf)
+        reactor.callLater(6.0, self._remove, world_leaf)
 
-    def _remove(self, soak_leaf: SoakLeaf) -> None:
-        soak_leaf.gone = True
-        self.model.delete(published.LEAF_PREFIX + soak_leaf.leaf.id)
+    def _remove(self, world_leaf: WorldLeaf) -> None:
+        world_leaf.gone = True
+        self.model.delete(published.LEAF_PREFIX + world_leaf.leaf.id)
 
     @property
-    def live_leafs(self) -> list[SoakLeaf]:
+    def live_leafs(self) -> list[WorldLeaf]:
         """Leafs that neither leave nor have left."""
         return [
             each
--- /dev/null
+++ b/trefoilpier/platform/tests/test_boot.py
@@ -0,0 +1,48 @@
+"""The settings that the platform writes."""
+
+import pytest
+
+from standins import published
+from trefoilpier import platform
+
+PORTS = published.VmPorts(
+    host="127.0.0.1", callers=81, readiness=82, inner=7000
+)
+
+
+def text(**changes):
+    return published.boot_text(
+        name="vm", zone="z", ports=PORTS, store="127.0.0.1:90", **changes
+    )
+
+
+def test_settings_are_read_into_types():
+    boot = platform.parse_boot(text()).ok
+    assert (boot.node_id, boot.zone) == ("vm", "z")
+    assert (boot.callers.host, boot.callers.port) == ("127.0.0.1", 81)
+    assert boot.inner_ports == (7000, 7015)
+    assert (boot.budget.share, boot.budget.allowance) == (0.2, 54)
+    assert (boot.drain_s, boot.grace_s, boot.lease_least_s) == (3.0, 6.0, 1.0)
+
+
+def test_unknown_fields_and_comments_are_ignored():
+    assert platform.parse_boot("# note\nnew.field=7\n" + text()).is_ok()
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "finding"),
+    [
+        ("node-name=vm", "node-name=", "node-name is missing"),
+        (":81", ":x", "listen-addrs.frontend is no address: '127.0.0.1:x'"),
+        ("7000,7015", "7000", "port-range is no range of ports"),
+        ("retry-ratio=0.2", "retry-ratio=much", "is no number"),
+    ],
+)
+def test_what_is_wrong_is_named(old, new, finding):
+    findings = platform.parse_boot(text().replace(old, new)).error
+    assert len(findings) == 1
+    assert finding in findings[0]
+
+
+def test_a_missing_file_is_a_finding(tmp_path):
+    assert "cannot read" in platform.read_boot(str(tmp_path / "no")).error[0]
--- /dev/null
+++ b/trefoilpier/platform/tests/test_entries.py
@@ -0,0 +1,82 @@
+"""What operators write, decoded."""
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from standins import published
+from trefoilpier import platform
+
+
+def rows(**changes):
+    row = {
+        "name": "r",
+        "host": "a.example",
+        "prefix": "/x/",
+        "type": "safe",
+        "timeout-ms": 500,
+        "target-latency-ms": 50,
+        "max-attempts": 2,
+        "priority": 1,
+        "service": "s",
+    }
+    row.update(changes)
+    return orjson.dumps({"version": 4, "routes": [row], "services": []})
+
+
+def test_a_whole_configuration():
+    value = published.routes_value(version=9, shards=["a", "b"], single="s")
+    table = platform.decode_routes(value.encode()).ok
+    assert table.version == 9
+    gather, read, write = table.routes
+    assert gather.gather.services == ("a", "b")
+    assert gather.gather.coverage_least == 0.7
+    assert (read.repeatable, write.repeatable) == (True, False)
+    assert (read.timeout_s, read.objective_s) == (1.5, 0.3)
+    assert table.service_by_name["a"].connections_max == 60
+
+
+def test_a_split_keeps_its_weights():
+    split = [{"service": "a", "weight": 3}, {"service": "b", "weight": 1}]
+    route = platform.decode_routes(rows(split=split)).ok.routes[0]
+    assert [(t.name, t.weight) for t in route.targets] == [("a", 3), ("b", 1)]
+
+
+def test_only_the_named_type_may_repeat():
+    for kind in ("unsafe", "keyed", None, 1):
+        route = platform.decode_routes(rows(type=kind)).ok.routes[0]
+        assert not route.repeatable
+
+
+def test_the_longest_prefix_wins():
+    row = orjson.loads(rows())
+    row["routes"].append({**row["routes"][0], "name": "r2", "prefix": "/x/y/"})
+    table = platform.decode_routes(orjson.dumps(row)).ok
+    assert table.match(b"A.Example", b"/x/y/z").name == "r2"
+    assert table.match(b"a.example", b"/x/yz").name == "r"
+    assert table.match(b"a.example", b"/y/") is None
+    assert table.match(b"b.example", b"/x/") is None
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        None,
+        b"",
+        b"[]",
+        b'{"version":1}',
+        b'{"version":"1","routes":[],"services":[]}',
+        rows(prefix=None),
+        rows(**{"timeout-ms": "soon"}),
+        rows(gather=["a"], service=None),
+    ],
+)
+def test_a_malformed_configuration_is_an_error(value):
+    assert platform.decode_routes(value).is_error()
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_are_an_entry_or_an_error(value):
+    platform.decode_leaf("servers/x", value)
+    platform.decode_routes(value)
--- /dev/null
+++ b/trefoilpier/tier/tests/test_peer_feed.py
@@ -0,0 +1,169 @@
+"""What a VM takes from its peers, and what it does not."""
+
+import random
+
+import expression
+from twisted.internet import defer
+
+from standins import memory_net
+from trefoilpier import base, fleet, http1, platform, replicas, store
+from trefoilpier.tier import peer_feed, store_sync
+
+PEER = fleet.VmRecord(
+    id="peer",
+    zone="z",
+    host="10.0.0.2",
+    relay_port=1,
+    state_port=2,
+    started_ms=3,
+)
+
+
+class AwayStore(store.KeyValueStore):
+    """Answers nothing but failures, or one snapshot."""
+
+    __slots__ = ("items",)
+
+    def __init__(self, items=None):
+        self.items = items
+
+    def read_all(self, prefix, *, may_be_old=False):
+        if self.items is None:
+            code = base.ResultCode.STORE_UNAVAILABLE
+            return defer.succeed(expression.Error(base.Failure(code=code)))
+        return defer.succeed(
+            expression.Ok(store.Snapshot(items=self.items, revision=5))
+        )
+
+    def watch(self, *args, **options):
+        return defer.Deferred()
+
+    read = write = grant_lease = keep_lease = end_lease = watch
+
+
+def routes_item(version):
+    value = b'{"version":%d,"routes":[],"services":[]}' % version
+    return store.Item(key=platform.ROUTES_KEY, value=value, revision=version)
+
+
+def leaf_item(name):
+    value = (
+        b'{"service":"s","address":"10.0.0.7:1","zone":"z","state":"ready",'
+        b'"max-concurrency":2}'
+    )
+    return store.Item(key=f"servers/{name}", value=value, revision=1)
+
+
+class Scene(http1.RequestHandler):
+    def __init__(self, own_items, peer_items):
+        self.clock = base.VirtualClock()
+        net = memory_net.MemoryNet(clock=self.clock)
+        self.peer_items = peer_items
+        self.fetches = 0
+        net.listen(
+            PEER.host,
+            PEER.state_port,
+            http1.ServerFactory(
+                clock=self.clock, handler=self, limits=http1.CallerLimits()
+            ),
+        )
+        self.registry = replicas.LeafRegistry(
+            clock=self.clock,
+            log=base.NullEventLog(),
+            reactor=net,
+            id_header=b"",
+            on_room=lambda pool: None,
+        )
+        self.sync = store_sync.StoreSync(
+            clock=self.clock,
+            log=base.NullEventLog(),
+            rng=random.Random(1),
+            store_client=AwayStore(own_items),
+            registry=self.registry,
+            directory=fleet.VmDirectory(),
+            on_table=lambda table: None,
+            on_fleet=lambda: None,
+        )
+        self.feed = peer_feed.PeerFeed(
+            clock=self.clock,
+            log=base.NullEventLog(),
+            reactor=net,
+            sync=self.sync,
+        )
+        self.sync.start()
+        self.clock.advance(0.5)
+
+    def handle(self, exchange):
+        self.fetches += 1
+        body = peer_feed.encode_items(self.peer_items)
+        exchange.respond(http1.HttpResponse(status=200, body=body))
+
+    def rejected(self, status, reason):
+        raise AssertionError(reason)
+
+    def tell(self, version, current=True, generation=1):
+        self.feed.take_state(
+            PEER,
+            fleet.FleetState(
+                version=version,
+                current=current,
+                leaving=False,
+                limits=http1.CallerLimits(),
+                vm_generation=0,
+                leaf_generation=generation,
+                vms=[],
+            ),
+        )
+        self.clock.advance(1.5)
+
+    def leafs(self):
+        return sorted(self.registry.pool_by_id)
+
+
+def test_routes_and_leafs_are_taken_while_the_store_is_away():
+    scene = Scene(None, [routes_item(4), leaf_item("a")])
+    assert not scene.sync.loaded
+    scene.tell(4)
+    assert (scene.sync.version, scene.leafs()) == (4, ["a"])
+    assert scene.sync.loaded
+    assert not scene.sync.current
+
+
+def test_the_same_news_is_not_fetched_twice():
+    scene = Scene(None, [routes_item(4), leaf_item("a")])
+    scene.tell(4)
+    scene.tell(4)
+    assert scene.fetches == 1
+    scene.tell(4, generation=2)
+    assert scene.fetches == 2
+
+
+def test_with_the_store_only_newer_routes_are_taken():
+    own = [routes_item(4), leaf_item("a")]
+    scene = Scene(own, [routes_item(6), leaf_item("b")])
+    scene.tell(4)
+    assert scene.fetches == 0
+    scene.tell(6)
+    assert (scene.sync.version, scene.leafs()) == (6, ["a"])
+
+
+def test_older_routes_of_a_peer_are_never_taken():
+    scene = Scene([routes_item(9)], [routes_item(6)])
+    scene.tell(6)
+    assert scene.sync.version == 9
+
+
+def test_a_peer_without_the_store_is_no_source_of_leafs():
+    scene = Scene(None, [routes_item(4), leaf_item("a")])
+    scene.tell(0, current=False)
+    assert scene.fetches == 0
+
+
+def test_a_leaf_missing_at_a_peer_is_held_for_a_while():
+    scene = Scene(None, [routes_item(4), leaf_item("a"), leaf_item("b")])
+    scene.tell(4)
+    scene.peer_items = [routes_item(4), leaf_item("a")]
+    scene.tell(4, generation=2)
+    assert scene.leafs() == ["a", "b"]
+    scene.clock.advance(3.0)
+    assert scene.leafs() == ["a"]
--- /dev/null
+++ b/trefoilpier/tier/vm.py
@@ -0,0 +1,343 @@
+"""The controllers of one VM and what they tell each other."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from trefoilpier import (
+    base,
+    fleet,
+    forward,
+    http1,
+    platform,
+    replicas,
+    routes,
+)
+from trefoilpier.tier import front_door, peer_feed, store_sync
+
+_WARM_S = 0.5  # Between two rounds of opening connections ahead of use.
+_READY_WAIT_S = 1.5  # Longest wait for leafs once the routes are known.
+_SHRINK_S = 15.0  # Longer than entries of live VMs stay lapsed.
+_RELAY_CONNECTIONS = 512  # To one gatherer; one for each request in flight.
+# Gatherers keep idle connections for as long as callers may.
+_RELAY_REUSE = replicas.ReusePolicy(idle_s=10.0, fresh_s=10.0)
+# A request goes to a second gatherer only if the first has not run it.
+_RELAY_BUDGET = forward.BudgetTerms(share=1.0, window_s=10.0, allowance=200.0)
+
+
+class TierVm:
+    """Everything of a VM but its sockets and signals.
+
+    Attributes:
+        door: Takes callers' requests.
+        relay_door: Takes the requests that other VMs relay.
+        state_pages: Tells other VMs what is in force here.
+        stopping: Whether the VM is shutting down.
+    """
+
+    __slots__ = (
+        "_boot",
+        "_clock",
+        "_directory",
+        "_engine",
+        "_feed",
+        "_leafs",
+        "_log",
+        "_on_limits",
+        "_peers",
+        "_presence",
+        "_reactor",
+        "_relay",
+        "_rng",
+        "_store",
+        "_sync",
+        "_vm_count",
+        "door",
+        "relay_door",
+        "state_pages",
+        "stopping",
+    )
+
+    def __init__(
+        self,
+        *,
+        boot: platform.BootSettings,
+        clock: base.Clock,
+        log: base.EventLog,
+        reactor: Any,
+        on_limits: Callable[[http1.CallerLimits], None],
+    ) -> None:
+        """Wires the controllers; nothing runs before `start`.
+
+        Args:
+            boot: The VM's settings.
+            clock: The clock.
+            log: Where events go.
+            reactor: Makes connections.
+            on_limits: Called when callers' limits change.
+        """
+        self._boot = boot
+        self._clock = clock
+        self._log = log
+        self._reactor = reactor
+        self._on_limits = on_limits
+        self._rng = random.Random()
+        self._vm_count = 0
+        self.stopping = False
+        self._store = platform.PlatformStore(
+            reactor=reactor,
+            clock=clock,
+            host=boot.store.host,
+            port=boot.store.port,
+        )
+        self._directory = fleet.VmDirectory()
+        wire = platform.PlatformWire()
+        self._engine, self._leafs = self._make_engine(wire, boot.budget, None)
+        self._relay = self._make_relay(wire)
+        self._sync = store_sync.StoreSync(
+            clock=clock,
+            log=log,
+            rng=self._rng,
+            store_client=self._store,
+            registry=self._leafs,
+            directory=self._directory,
+            on_table=self._take_table,
+            on_fleet=self._take_fleet,
+        )
+        self._presence: fleet.Presence | None = None
+        self._feed = peer_feed.PeerFeed(
+            clock=clock, log=log, reactor=reactor, sync=self._sync
+        )
+        self._peers = self._make_peer_watch()
+        self.state_pages = fleet.StatePages(
+            clock=clock,
+            make_state=self._state,
+            make_snapshot=lambda: peer_feed.encode_items(self._sync.items),
+        )
+        self.relay_door = fleet.RelayDoor(engine=self._engine)
+        self.door = front_door.FrontDoor(
+            clock=clock,
+            engine=self._engine,
+            relay=self._relay,
+            gathers=self.gathers,
+            start_own=self._sync.start,
+        )
+
+    def _make_engine(
+        self,
+        wire: forward.LeafWire,
+        budget: forward.BudgetTerms,
+        reuse: replicas.ReusePolicy | None,
+    ) -> tuple[forward.ForwardEngine, replicas.LeafRegistry]:
+        engine = forward.ForwardEngine(
+            clock=self._clock,
+            log=self._log,
+            wire=wire,
+            chooser=replicas.LeafChooser(rng=self._rng, zone=self._boot.zone),
+            budget_terms=budget,
+        )
+        registry = replicas.LeafRegistry(
+            clock=self._clock,
+            log=self._log,
+            reactor=self._reactor,
+            id_header=wire.id_header,
+            on_room=engine.room,
+            reuse=reuse,
+        )
+        engine.registry = registry
+        return engine, registry
+
+    def _make_relay(self, wire: forward.LeafWire) -> front_door.Relay:
+        relay_wire = fleet.RelayWire(wire=wire)
+        engine, registry = self._make_engine(
+            relay_wire, _RELAY_BUDGET, _RELAY_REUSE
+        )
+        registry.set_connection_limits({fleet.GATHERERS: _RELAY_CONNECTIONS})
+        watch = self._make_watch(
+            registry, zone=self._boot.zone, on_state=self._take_state
+        )
+        return front_door.Relay(engine=engine, wire=relay_wire, watch=watch)
+
+    def _make_peer_watch(self) -> fleet.GathererWatch:
+        """Makes what a VM that gathers hears of the others."""
+        registry = replicas.LeafRegistry(
+            clock=self._clock,
+            log=base.NullEventLog(),
+            reactor=self._reactor,
+            id_header=b"",
+            on_room=lambda pool: None,
+        )
+        return self._make_watch(
+            registry, zone="", on_state=self._feed.take_state
+        )
+
+    def _make_watch(
+        self,
+        registry: replicas.LeafRegistry,
+        *,
+        zone: str,
+        on_state: Callable[[fleet.VmRecord, fleet.FleetState], None],
+    ) -> fleet.GathererWatch:
+        return fleet.GathererWatch(
+            clock=self._clock,
+            log=self._log,
+            rng=self._rng,
+            reactor=self._reactor,
+            store_client=self._store,
+            registry=registry,
+            own_id=self._boot.node_id,
+            zone=zone,
+            on_state=on_state,
+        )
+
+    def start(self, record: fleet.VmRecord) -> None:
+        """Starts the controllers.
+
+        Args:
+            record: Where other VMs reach this one, if it gathers.
+        """
+        self._warm()
+        if not self.can_gather:
+            self.door.start()
+            return
+        self._presence = fleet.Presence(
+            clock=self._clock,
+            rng=self._rng,
+            store_client=self._store,
+            record=record,
+            lease_least_s=self._boot.lease_least_s,
+        )
+        self._presence.start()
+        self._sync.start()
+        self._peers.start()
+
+    @property
+    def can_gather(self) -> bool:
+        """Whether the VM is large enough to gather."""
+        return fleet.can_gather(
+            cores=self._boot.cores, link_mbps=self._boot.link_mbps
+        )
+
+    def gathers(self) -> bool:
+        """Whether this VM serves its callers itself."""
+        own_id = self._boot.node_id
+        if not self.can_gather:
+            return False
+        if own_id not in self._directory.vm_by_id:
+            return True
+        return any(record.id == own_id for record in self._gatherers())
+
+    def _gatherers(self) -> list[fleet.VmRecord]:
+        table = self._engine.table
+        limits = [
+            service.connections_max
+            for service in (table.service_by_name if table else {}).values()
+        ]
+        if not limits:
+            return list(self._directory.vm_by_id.values())
+        return self._directory.gatherers(fleet.gatherers_max(limits))
+
+    def _take_table(self, table: routes.RouteTable) -> None:
+        self._engine.table = table
+        self._on_limits(table.limits)
+        self._leafs.set_connection_limits(
+            {
+                service.name: service.connections_max
+                for service in table.service_by_name.values()
+            }
+        )
+        self.state_pages.changed()
+
+    def _take_fleet(self) -> None:
+        """Shares connections and budgets between the VMs that gather."""
+        self.state_pages.changed()
+        count = len(self._gatherers())
+        if count > self._vm_count:
+            self._set_vm_count()
+        elif count < self._vm_count:
+            # Entries may have lapsed while their VMs go on.
+            self._clock.call_later(_SHRINK_S, self._set_vm_count)
+        if not self.gathers():
+            self.door.start()
+
+    def _set_vm_count(self) -> None:
+        self._vm_count = max(1, len(self._gatherers()))
+        self._leafs.set_vm_count(self._vm_count)
+        self._engine.set_vm_count(self._vm_count)
+
+    def _state(self) -> fleet.FleetState:
+        table = self._engine.table
+        return fleet.FleetState(
+            version=table.version if table is not None else 0,
+            current=self._sync.current,
+            leaving=self.stopping,
+            limits=table.limits if table else http1.CallerLimits(),
+            vm_generation=self._directory.generation,
+            leaf_generation=self._leafs.generation,
+            vms=self._gatherers(),
+        )
+
+    def _take_state(
+        self, record: fleet.VmRecord, state: fleet.FleetState
+    ) -> None:
+        """Takes what a gatherer tells this VM."""
+        self._relay.take_version(state.version)
+        if not self.gathers() and state.version >= self._relay.version:
+            self._on_limits(state.limits)
+
+    def _warm(self) -> None:
+        if self._sync.loaded and self.gathers():
+            self._leafs.warm(list(self._leafs.pools_by_service))
+        self._clock.call_later(_WARM_S, self._warm)
+
+    def ready(self) -> bool:
+        """Tells whether the balancer should send callers here."""
+        if self.stopping:
+            return False
+        if self.door.relays:
+            return True
+        table = self._engine.table
+        if table is None or not self._sync.loaded:
+            return False
+        if self._clock.monotonic() - self._sync.loaded_at > _READY_WAIT_S:
+            return True
+        pools = self._leafs.pools_by_service
+        return all(
+            any(pool.connected for pool in pools.get(service, ()))
+            for service in table.used_services
+        )
+
+    def stop(self) -> None:
+        """Begins the graceful shutdown: the other VMs are told."""
+        self.stopping = True
+        self._engine.draining = True
+        self.state_pages.changed()
+        if self._presence is not None:
+            self._presence.stop()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests without a response."""
+        return self._engine.in_flight + self._relay.engine.in_flight
+
+    @property
+    def version(self) -> int:
+        """Version of the routes that apply here; 0 for none."""
+        return max(self._sync.version, self._relay.version)
+
+    @property
+    def engine_by_role(self) -> dict[str, forward.ForwardEngine]:
+        """The engines, for the metrics."""
+        return {"gather": self._engine, "relay": self._relay.engine}
+
+    @property
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        """Further values, for the metrics."""
+        return {
+            "config_version": lambda: self.version,
+            "store_calls_total": lambda: self._store.calls,
+            "store_current": lambda: self._sync.current,
+            "leafs_known": lambda: len(self._leafs.pool_by_id),
+            "vms_gathering": lambda: len(self._directory.vm_by_id),
+            "draining": lambda: self.stopping,
+        }
