Soak: a leaf that leaves gets nothing new after its bound

Cause: the promise on leaving leafs was not judged. Change: judged where nothing disturbed store, links or VMs; the check is shown to fail.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,14 +1,16 @@
 """The promises, judged by what callers and leafs saw."""
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
-from soak import callers
+from soak import callers, faults
 from standins import opaque_leaf, published, tier_world
 
 _NOT_RUN = frozenset((408, 421, 429, 503))
 _RECORD_BYTES = 16
 _RECORDS_MAX = 5
+_LEAVING_S = 3.0  # The users' bound for a leaf that leaves.
+_CALM_S = 4.0  # The users' span in which an outage still excuses.
 # Share of the requests after the faults that must succeed.
 _RECOVERED_LEAST = 0.9
 
@@ -18,11 +20,13 @@
     seen: list[callers.Seen],
     *,
     recovered_from: float,
+    applied: Sequence[faults.Disruption] = (),
 ) -> list[str]:
     """Returns a line for each broken promise."""
     found: list[str] = []
     found += _check_runs(soak_world, seen)
     found += _check_answers(soak_world, seen)
+    found += _check_leaving(soak_world, applied)
     found += _check_recovery(seen, recovered_from)
     for vm in soak_world.vms:
         if vm.unplanned_ends:
@@ -116,6 +120,31 @@
         yield f"{each.id}: not the greatest records of its parts"
 
 
+def _check_leaving(
+    soak_world: tier_world.World, applied: Sequence[faults.Disruption]
+) -> Iterable[str]:
+    """No new request a while after a leaf said that it leaves.
+
+    Judged only where nothing disturbed the store, its links or the VMs from
+    shortly before the word until the bound.
+    """
+    hiding = [
+        each
+        for each in applied
+        if each.name.startswith(("store", "link vm", "vm-", "all VMs"))
+    ]
+    for each in soak_world.leaf_by_id.values():
+        leaving_at = each.leaving_at
+        if leaving_at is None:
+            continue
+        begin, end = leaving_at - _CALM_S, leaving_at + _LEAVING_S
+        if any(h.at < end and h.at + h.seconds > begin for h in hiding):
+            continue
+        late_s = each.leaf.last_request_at - leaving_at
+        if late_s > _LEAVING_S:
+            yield f"{each.leaf.id} got a request {late_s:.1f} s after leaving"
+
+
 def _check_recovery(
     seen: list[callers.Seen], recovered_from: float
 ) -> Iterable[str]:
--- a/soak/main.py
+++ b/soak/main.py
@@ -64,7 +64,10 @@
     load.stopped = True
     await _sleep(_LAST_S)
     found = checks.check_all(
-        soak_world, load.seen, recovered_from=recovered_from
+        soak_world,
+        load.seen,
+        recovered_from=recovered_from,
+        applied=plan.applied,
     )
     statuses = collections.Counter(each.status for each in load.seen)
     print(f"seed {seed}: {len(load.seen)} requests, {dict(statuses)}")
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -4,16 +4,18 @@
 
 import pytest
 
-from soak import callers, checks
+from soak import callers, checks, faults
 from standins import opaque_leaf
 
 
 def make_leaf(service, **answers):
     leaf = types.SimpleNamespace(
+        id="leaf",
+        last_request_at=0.0,
         runs=[answer.request_id for answer in answers.values()],
         answer_by_seal={k.encode(): v for k, v in answers.items()},
     )
-    return types.SimpleNamespace(leaf=leaf, service=service)
+    return types.SimpleNamespace(leaf=leaf, service=service, leaving_at=None)
 
 
 def answer(request_id, body=b"b" * 16, status=200):
@@ -123,3 +125,25 @@
     assert any("9 of 11 requests" in line for line in after)
     before = checks.check_all(make_world(), good + bad, recovered_from=2.0)
     assert any("0 of 0 requests" in line for line in before)
+
+
+def test_a_request_to_a_leaf_that_left_is_found_unless_excused():
+    left = make_leaf("s1")
+    left.leaving_at = 10.0
+    left.leaf.last_request_at = 13.5
+
+    def lines(*applied):
+        return [
+            line
+            for line in checks.check_all(
+                make_world(left), [], recovered_from=0.0, applied=applied
+            )
+            if "after leaving" in line
+        ]
+
+    assert lines()
+    assert lines(faults.Disruption(name="leaf-1 drains", at=9.0, seconds=3.0))
+    assert lines(faults.Disruption(name="store down", at=1.0, seconds=3.0))
+    assert not lines(faults.Disruption(name="store down", at=3.0, seconds=4.0))
+    left.leaf.last_request_at = 12.5
+    assert not lines()
--- a/standins/opaque_leaf.py
+++ b/standins/opaque_leaf.py
@@ -55,6 +55,7 @@
         runs: Ids of the requests that it began to work on.
         refused: Ids of those that it refused unprocessed.
         requests: The requests as received.
+        last_request_at: Monotonic instant of the last one.
         answer_by_seal: What it answered, by its signature.
     """
 
@@ -68,6 +69,7 @@
         "answer_by_seal",
         "faults",
         "id",
+        "last_request_at",
         "queue_max",
         "refused",
         "requests",
@@ -98,6 +100,7 @@
         self.runs: list[bytes] = []
         self.refused: list[bytes] = []
         self.requests: list[http1.HttpRequest] = []
+        self.last_request_at = 0.0
         self.answer_by_seal: dict[bytes, LeafAnswer] = {}
 
     def factory(self) -> http1.ServerFactory:
@@ -109,6 +112,7 @@
     def handle(self, exchange: http1.Exchange) -> None:
         """Runs, queues or refuses a request."""
         self.requests.append(exchange.request)
+        self.last_request_at = self._clock.monotonic()
         headers = exchange.request.headers
         expected = http1.find_header(headers, b"x-expect-instance")
         if expected is not None and expected != self.id.encode():
