bin/bench: cost of the tier; figures as they come, JSON of what is done

Cause: the cost of the path on the platform was not measured by the project itself, and bin/bench printed nothing until everything had run. Change: 'tier' measures real VMs over sockets and a line of the log; each figure is printed at once with progress; a run that is stopped writes its JSON.

--- a/bench/cost.py
+++ b/bench/cost.py
@@ -14,7 +14,7 @@
 _WARM_UP = 10
 
 
-def _cpu_seconds(pid: int) -> float:
+def cpu_seconds(pid: int) -> float:
     """Returns the processor time that a process has used."""
     with open(f"/proc/{pid}/stat", encoding="ascii") as stat:
         fields = stat.read().rpartition(")")[2].split()
@@ -52,13 +52,13 @@
         for _ in range(_WARM_UP):
             target.request("search", {"text": "warm"})
         count = _QUERIES_BY_LEAVES[leaves]
-        before = _cpu_seconds(process.pid)
+        before = cpu_seconds(process.pid)
         begin = time.monotonic()
         for index in range(count):
             answer = target.request("search", {"text": f"t{index}"})
             assert answer.row()["coverage"]["answered"] == leaves
         wall = (time.monotonic() - begin) / count * 1000
-        cpu = (_cpu_seconds(process.pid) - before) / count
+        cpu = (cpu_seconds(process.pid) - before) / count
         rows = target.leaf_rows()
         connections = sum(row["open"] for row in rows.values())
         return cpu, wall, _resident_bytes(process.pid), connections
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -50,15 +50,19 @@
         return ", ".join(parts) or "-"
 
 
-def print_table(figures: Iterable[Figure]) -> None:
-    """Prints one line for each figure."""
+def print_head() -> None:
+    """Prints the head of the table."""
     print(f"{'figure':<58} {'value':>10} {'unit':<10} {'bound':<14} holds")
-    for figure in figures:
-        holds = {None: "-", True: "yes", False: "NO"}[figure.holds]
-        print(
-            f"{figure.name:<58} {figure.value:>10.4g} {figure.unit:<10} "
-            f"{figure.bound:<14} {holds}"
-        )
+
+
+def print_row(figure: Figure) -> None:
+    """Prints one line for a figure, at once."""
+    holds = {None: "-", True: "yes", False: "NO"}[figure.holds]
+    print(
+        f"{figure.name:<58} {figure.value:>10.4g} {figure.unit:<10} "
+        f"{figure.bound:<14} {holds}",
+        flush=True,
+    )
 
 
 def write_json(figures: Iterable[Figure], path: pathlib.Path) -> None:
--- a/bench/main.py
+++ b/bench/main.py
@@ -3,10 +3,19 @@
 import argparse
 import concurrent.futures
 import pathlib
+import signal
 import sys
 from collections.abc import Callable, Iterator
 
-from bench import capacity, control, cost, decisions, figures, http_clients
+from bench import (
+    capacity,
+    control,
+    cost,
+    decisions,
+    figures,
+    http_clients,
+    tier,
+)
 
 _JOBS_BY_NAME: dict[str, Callable[[], list[tuple]]] = {
     "capacity": capacity.jobs,
@@ -16,10 +25,11 @@
     "messages": cost.jobs,
     "decisions": decisions.jobs,
     "gatherers": decisions.gatherer_jobs,
+    "tier": tier.jobs,
 }
 _PROCESSES = 6
 # Processor time is measured with nothing beside it.
-_ALONE = frozenset({"capacity", "cost", "http-clients"})
+_ALONE = frozenset({"capacity", "cost", "http-clients", "tier"})
 
 
 def _run_job(job: tuple) -> list[figures.Figure]:
@@ -33,7 +43,10 @@
     jobs = _JOBS_BY_NAME[name]()
     processes = 1 if name in _ALONE else _PROCESSES
     with concurrent.futures.ProcessPoolExecutor(processes) as pool:
-        for rows in pool.map(_run_job, jobs):
+        for done, rows in enumerate(pool.map(_run_job, jobs), 1):
+            for row in rows:
+                figures.print_row(row)
+            print(f"# {name}: {done} of {len(jobs)} done", flush=True)
             yield from rows
 
 
@@ -46,12 +59,21 @@
     args = parser.parse_args()
     names = [args.name] if args.name else sorted(_JOBS_BY_NAME)
     rows: list[figures.Figure] = []
-    for name in names:
-        rows += run(name)
-    rows += decisions.straggler_ratio(rows)
-    figures.print_table(rows)
-    if args.json:
-        figures.write_json(rows, args.json)
+    # Ends like an interrupt, so that what is done is written.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
+    figures.print_head()
+    try:
+        for name in names:
+            for row in run(name):
+                rows.append(row)
+        ratios = list(decisions.straggler_ratio(rows))
+        for row in ratios:
+            figures.print_row(row)
+        rows += ratios
+    finally:
+        # A run that is stopped leaves what is done.
+        if args.json:
+            figures.write_json(rows, args.json)
     if args.plot:
         figures.write_plot(rows, args.plot)
     missed = [row.name for row in rows if row.holds is False]
--- a/standins/tier_world.py
+++ b/standins/tier_world.py
@@ -84,6 +84,11 @@
         self._signalled = False
         self._stopped = False
 
+    @property
+    def pid(self) -> int:
+        """The process that runs now; 0 if none does."""
+        return self._process.pid or 0 if self._process is not None else 0
+
     def start(self) -> None:
         """Starts a process."""
         if self._stopped:
