State of services and routes that are gone is dropped

Cause: budgets, lanes, latencies and splits were kept by name for as long as a VM runs, while each new partitioning names new services (read of the diff). Change: a new version drops what neither it nor the one before names.

--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -24,7 +24,6 @@
 
     Attributes:
         clock: The clock.
-        table: The routes in force, or None before the first version.
         registry: The leafs.
         chooser: Chooses between them.
         wire: Reads and writes headers.
@@ -43,6 +42,7 @@
         "_lane_by_service",
         "_log",
         "_split_by_route",
+        "_table",
         "_usual_by_route",
         "chooser",
         "clock",
@@ -53,7 +53,6 @@
         "registry",
         "sends",
         "sends_extra",
-        "table",
         "vm_count",
         "wire",
     )
@@ -71,7 +70,7 @@
         self.wire = wire
         self.chooser = chooser
         self.registry: replicas.LeafRegistry
-        self.table: routes.RouteTable | None = None
+        self._table: routes.RouteTable | None = None
         self.draining = False
         self.in_flight = 0
         self.vm_count = budget.VMS_ASSUMED
@@ -86,6 +85,33 @@
         self._usual_by_route: dict[str, latency.UsualLatency] = {}
         self._split_by_route: dict[str, split.WeightedSplit] = {}
 
+    @property
+    def table(self) -> routes.RouteTable | None:
+        """The routes in force, or None before the first version."""
+        return self._table
+
+    @table.setter
+    def table(self, table: routes.RouteTable | None) -> None:
+        before, self._table = self._table, table
+        if before is not None and table is not None:
+            self._forget_unnamed(before, table)
+
+    def _forget_unnamed(
+        self, before: routes.RouteTable, table: routes.RouteTable
+    ) -> None:
+        """Drops what is kept of services and routes that are gone.
+
+        Those of the version before stay for requests that are in flight.
+        """
+        services = before.used_services | table.used_services
+        names = {route.name for route in (*before.routes, *table.routes)}
+        for by_service in (self._budget_by_service, self._lane_by_service):
+            for service in set(by_service) - services:
+                del by_service[service]
+        for by_route in (self._usual_by_route, self._split_by_route):
+            for name in set(by_route) - names:
+                del by_route[name]
+
     def budget(self, service: str) -> budget.ExtraBudget:
         """Returns a service's budget of extra sends."""
         known = self._budget_by_service.get(service)
--- a/trefoilpier/forward/tests/test_gathering.py
+++ b/trefoilpier/forward/tests/test_gathering.py
@@ -147,3 +147,18 @@
     tier.clock.advance(0.3)
     answer = tier.answers["q1"]
     assert len(parts(answer)) + missing(answer) == 4
+
+
+def test_nothing_is_kept_of_services_that_two_versions_do_not_name():
+    # Each new partitioning names new services; a VM that runs for months
+    # must not keep the state of all of them.
+    tier = make(shards=4)
+    tier.ask("q1")
+    tier.clock.advance(0.3)
+    assert "shard0" in tier.engine._budget_by_service
+    other = memory_tier.make_route(name="other")
+    tier.set_routes(other)
+    assert "shard0" in tier.engine._budget_by_service
+    tier.set_routes(other)
+    assert "shard0" not in tier.engine._budget_by_service
+    assert "r" not in tier.engine._usual_by_route
