Gatherers of a block are asked by the time that calls wait there

Cause: after a lost replica Hanoi's half seconds stayed bad for 7.5 s at 30 % load. A trace of the survivor's three gatherers (calls in each 0.1 s: 8, 20, 40) shows that senders preferred one gatherer by a fixed hash: one had four of seven senders and queued up to 31 calls at 3 in flight, the others had free slots. Refusals followed that one queue. Ruled out: a burst (the queue stayed between 15 and 31 calls for 0.7 s), the leaf (8 to 9 ms a call throughout), admission's thresholds (the wait was real).

Change: a sender orders a block's gatherers by the wait that each last reported, fading with its age, plus the way between zones; ties are spread by query. Two tests of the order; they fail before (no such arguments, a fixed order).

--- a/trefoilpier/board/board.py
+++ b/trefoilpier/board/board.py
@@ -109,6 +109,8 @@
         leaf_calls_extra: Hedges and retries among them.
         wait_by_block: For each block of other gatherers, the seconds that a
             call would wait there, and the monotonic instant of that word.
+        wait_by_gatherer: The same for each block and gatherer that has said
+            that calls wait there.
     """
 
     __slots__ = (
@@ -120,6 +122,7 @@
         "refused",
         "sub_in_flight",
         "wait_by_block",
+        "wait_by_gatherer",
     )
 
     def __init__(self) -> None:
@@ -131,6 +134,22 @@
         self.leaf_calls = 0
         self.leaf_calls_extra = 0
         self.wait_by_block: dict[str, tuple[float, float]] = {}
+        self.wait_by_gatherer: dict[tuple[str, str], tuple[float, float]] = {}
+
+    def learn_wait(
+        self, block_id: str, node_id: str, *, wait: float, now: float
+    ) -> None:
+        """Takes in how long calls wait at a gatherer of a block."""
+        self.wait_by_block[block_id] = (wait, now)
+        if wait:
+            self.wait_by_gatherer[block_id, node_id] = (wait, now)
+        else:
+            self.wait_by_gatherer.pop((block_id, node_id), None)
+
+    def wait_at(self, block_id: str, node_id: str, now: float) -> float:
+        """Returns the seconds a call waits there; the word fades with age."""
+        wait, at = self.wait_by_gatherer.get((block_id, node_id), (0.0, 0.0))
+        return max(0.0, wait - (now - at))
 
 
 class DrainSection:
--- a/trefoilpier/query/fanout.py
+++ b/trefoilpier/query/fanout.py
@@ -19,12 +19,12 @@
         "_merger",
         "_on_done",
         "_open_parts",
+        "_queries",
         "_remote",
         "_result",
         "_snapshots",
         "_spec",
         "_timers",
-        "_wait_by_block",
         "total",
     )
 
@@ -56,7 +56,7 @@
         """
         self.total = len(shards)
         self._clock = context.clock
-        self._wait_by_block = context.board.queries.wait_by_block
+        self._queries = context.board.queries
         self._snapshots = snapshots
         self._spec = query
         self._on_done = on_done
@@ -66,7 +66,7 @@
         self._merger = routing.Merger(
             merge=query.service.merge, limit=query.limit
         )
-        held, shards_by_gatherers = _split(query.group, shards, placement)
+        held, shards_by_gatherers = self._split(shards, placement)
         self._local: routing.Gather | None = None
         if held:
             self._local = routing.Gather(
@@ -119,6 +119,45 @@
     def _local_done(self, result: routing.GatherResult) -> None:
         self._merge(result)
 
+    def _split(
+        self, shards: tuple[int, ...], placement: routing.Placement
+    ) -> tuple[list[int], dict[tuple[str, ...], list[int]]]:
+        """Divides shards into held ones and those of each first gatherer."""
+        group = self._spec.group
+        held: list[int] = []
+        order_by_block: dict[str, tuple[str, ...]] = {}
+        order_by_first: dict[str, tuple[str, ...]] = {}
+        shards_by_gatherers: dict[tuple[str, ...], list[int]] = {}
+        for shard in shards:
+            block = group.block_by_shard[shard]
+            if placement.holds(block, group):
+                held.append(shard)
+                continue
+            order = order_by_block.get(block.id)
+            if order is None:
+                order = self._order(block, placement)
+                order_by_block[block.id] = order
+            # Blocks with the same set of gatherers travel in one sub-query.
+            first = order[0] if order else ""
+            if set(order_by_first.setdefault(first, order)) == set(order):
+                order = order_by_first[first]
+            shards_by_gatherers.setdefault(order, []).append(shard)
+        return held, shards_by_gatherers
+
+    def _order(
+        self, block: config.Block, placement: routing.Placement
+    ) -> tuple[str, ...]:
+        """Returns a block's gatherers, by the time that calls wait there."""
+        now = self._clock.monotonic()
+        return placement.preferred(
+            block,
+            self._spec.group,
+            wait_of=lambda node_id: self._queries.wait_at(
+                block.id, node_id, now
+            ),
+            salt=self._spec.id,
+        )
+
     def _remote_done(
         self,
         part: remote.RemotePart,
@@ -127,19 +166,21 @@
     ) -> None:
         """Takes in a partial and remembers what its gatherer offers."""
         if partial is not None:
-            self._learn(part.shards, partial)
+            self._learn(part, partial)
         self._merge(result)
 
-    def _learn(self, shards: tuple[int, ...], partial: peer.Partial) -> None:
+    def _learn(self, part: remote.RemotePart, partial: peer.Partial) -> None:
         """Keeps the versions and the wait that a gatherer reports."""
         group = self._spec.group
         now = self._clock.monotonic()
         block_by_id = {
             group.block_by_shard[shard].id: group.block_by_shard[shard]
-            for shard in shards
+            for shard in part.shards
         }
         for block in block_by_id.values():
-            self._wait_by_block[block.id] = (partial.wait_ms / 1000, now)
+            self._queries.learn_wait(
+                block.id, part.answered_by, wait=partial.wait_ms / 1000, now=now
+            )
             if partial.offered:
                 self._snapshots.learn(
                     block.id, dict.fromkeys(block.shards, partial.offered)
@@ -195,29 +236,6 @@
             part.cancel()
 
 
-def _split(
-    group: config.ShardGroup,
-    shards: tuple[int, ...],
-    placement: routing.Placement,
-) -> tuple[list[int], dict[tuple[str, ...], list[int]]]:
-    """Divides shards into held ones and those of each first gatherer."""
-    held: list[int] = []
-    order_by_first: dict[str, tuple[str, ...]] = {}
-    shards_by_gatherers: dict[tuple[str, ...], list[int]] = {}
-    for shard in shards:
-        block = group.block_by_shard[shard]
-        if placement.holds(block, group):
-            held.append(shard)
-            continue
-        order = placement.preferred(block, group)
-        # Blocks with the same set of gatherers travel in one sub-query.
-        first = order[0] if order else ""
-        if set(order_by_first.setdefault(first, order)) == set(order):
-            order = order_by_first[first]
-        shards_by_gatherers.setdefault(order, []).append(shard)
-    return held, shards_by_gatherers
-
-
 def _either(one: base.Ran, other: base.Ran) -> base.Ran:
     """Joins what is known of two parts: yes wins, then unknown."""
     if base.Ran.YES in (one, other):
--- a/trefoilpier/query/remote.py
+++ b/trefoilpier/query/remote.py
@@ -31,6 +31,10 @@
 
     A part that must not be repeated is sent again only after a reply that
     says it did not run.
+
+    Attributes:
+        shards: The shards of this part.
+        answered_by: The gatherer whose partial was taken; empty before.
     """
 
     __slots__ = (
@@ -47,6 +51,7 @@
         "_spec",
         "_tried",
         "_unknown",
+        "answered_by",
         "shards",
     )
 
@@ -77,6 +82,7 @@
             on_done: Gets the result once, and the partial that gave it.
         """
         self.shards = shards
+        self.answered_by = ""
         self._clock = clock
         self._requests = requests
         self._spec = query
@@ -179,6 +185,7 @@
         if reply.snapshot != self._spec.snapshot:
             self._lost()
             return
+        self.answered_by = node_id
         self._take(reply)
 
     def _take(self, reply: peer.Partial) -> None:
--- a/trefoilpier/routing/placement.py
+++ b/trefoilpier/routing/placement.py
@@ -1,10 +1,20 @@
 """Which nodes gather for which block of leaves."""
 
 import bisect
+from collections.abc import Callable
 
 from trefoilpier import base, board, config
 
+# Ranked nodes kept beyond the gatherers; a lost few cost no new ranking.
 _SPARE_RANKS = 8
+# Seconds there and back between zones of a region, from the users' sheet.
+_OTHER_ZONE_S = 0.002
+
+
+def _no_wait(node_id: str) -> float:
+    """Tells that calls wait nowhere."""
+    del node_id
+    return 0.0
 
 
 class _Ranking:
@@ -113,23 +123,36 @@
         return self._nodes.self_id in self.gatherers(block, group)
 
     def preferred(
-        self, block: config.Block, group: config.ShardGroup
+        self,
+        block: config.Block,
+        group: config.ShardGroup,
+        *,
+        wait_of: Callable[[str], float] = _no_wait,
+        salt: str = "",
     ) -> tuple[str, ...]:
         """Returns the gatherers in the order this node should ask them.
 
-        Itself first, then those of its own zone, then of its region; ties by
-        a hash of both ends, so that senders spread over the gatherers.
+        Itself first, then those of its own region by the time that a call
+        waits there and needs to get there; ties by a hash, so that senders
+        and queries spread over the gatherers.
+
+        Args:
+            block: The block.
+            group: Its shard group.
+            wait_of: Tells the seconds that calls wait at a gatherer.
+            salt: Differs by query, to spread those of one sender.
         """
         nodes = self._nodes
         mine = nodes.node_by_id.get(nodes.self_id)
 
-        def distance(node_id: str) -> tuple[int, int]:
-            spread = base.stable_hash(f"{nodes.self_id}|{node_id}|{block.id}")
+        def cost(node_id: str) -> tuple[int, float, int]:
+            spread = base.stable_hash(f"{nodes.self_id}|{node_id}|{salt}")
             record = nodes.node_by_id.get(node_id)
             if node_id == nodes.self_id:
-                return 0, spread
+                return 0, 0.0, spread
             if record is None or mine is None or record.region != mine.region:
-                return 3, spread
-            return (1 if record.zone == mine.zone else 2), spread
+                return 2, wait_of(node_id), spread
+            way = 0.0 if record.zone == mine.zone else _OTHER_ZONE_S
+            return 1, wait_of(node_id) + way, spread
 
-        return tuple(sorted(self.gatherers(block, group), key=distance))
+        return tuple(sorted(self.gatherers(block, group), key=cost))
--- a/trefoilpier/routing/tests/test_placement.py
+++ b/trefoilpier/routing/tests/test_placement.py
@@ -40,3 +40,52 @@
     for block in _GROUP.blocks:
         if "vm-6" not in before[block.id]:
             assert placement.gatherers(block, _GROUP) == before[block.id]
+
+
+def _seven_nodes(*, zones):
+    nodes = board.NodeSection(self_id="vm-0")
+    for index in range(7):
+        node_id = f"vm-{index}"
+        nodes.node_by_id[node_id] = board.NodeRecord(
+            id=node_id,
+            host="127.0.0.1",
+            peer_port=1,
+            caller_port=2,
+            region="r",
+            zone=f"z{index % zones}",
+            incarnation=1,
+        )
+    _set_live(nodes, nodes.node_by_id)
+    return routing.Placement(nodes=nodes)
+
+
+def _remote_block(placement):
+    return next(
+        block
+        for block in _GROUP.blocks
+        if "vm-0" not in placement.gatherers(block, _GROUP)
+    )
+
+
+def test_gatherer_where_calls_wait_is_asked_last():
+    # A survivor's load went to the nearest gatherer of three, which queued
+    # 31 calls while the others had free slots.
+    placement = _seven_nodes(zones=3)
+    block = _remote_block(placement)
+    nearest = placement.preferred(block, _GROUP)[0]
+    order = placement.preferred(
+        block,
+        _GROUP,
+        wait_of=lambda node_id: 0.03 if node_id == nearest else 0.0,
+    )
+    assert order[-1] == nearest
+
+
+def test_queries_of_one_sender_spread_over_gatherers_of_equal_cost():
+    placement = _seven_nodes(zones=1)
+    block = _remote_block(placement)
+    firsts = {
+        placement.preferred(block, _GROUP, salt=f"q{index}")[0]
+        for index in range(40)
+    }
+    assert firsts == set(placement.gatherers(block, _GROUP))
