One place makes the refusal that says when to come back

Cause: found in reading: the 503 with Retry-After was built in the engine and in both kinds of run. Ruled out: a change of what callers see (same header, same rounding; the tests of the three paths pass unchanged).

Change: forward/responses.py makes it; the three others call it.

Conclusion: one copy.

--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -8,6 +8,7 @@
     histogram,
     lane,
     latency,
+    responses,
     service_call,
     single_run,
     split,
@@ -280,7 +281,7 @@
             exchange,
             ask,
             code,
-            refusal(retry_after_s),
+            responses.refused(retry_after_s),
             {"retry_after_s": retry_after_s},
         )
 
@@ -335,13 +336,3 @@
             route=spec.route.name,
             took_ms=round(took * 1000, 1),
         )
-
-
-def refusal(retry_after_s: float) -> http1.HttpResponse:
-    """Returns the response to a request that has not run and never will.
-
-    >>> refusal(0.25).headers
-    [(b'retry-after', b'0.250')]
-    """
-    after = b"%.3f" % retry_after_s
-    return http1.HttpResponse(status=503, headers=[(b"retry-after", after)])
--- a/trefoilpier/forward/gather_run.py
+++ b/trefoilpier/forward/gather_run.py
@@ -3,7 +3,13 @@
 from typing import TYPE_CHECKING
 
 from trefoilpier import base, http1
-from trefoilpier.forward import admission, merge, service_call, straggler
+from trefoilpier.forward import (
+    admission,
+    merge,
+    responses,
+    service_call,
+    straggler,
+)
 
 if TYPE_CHECKING:
     from trefoilpier.forward import engine as engines
@@ -142,10 +148,7 @@
         )
         if not sent and self._ran is base.Ran.NO:
             left = self._spec.deadline - self._engine.clock.monotonic()
-            after = b"%.3f" % admission.retry_after(left)
-            response = http1.HttpResponse(
-                status=503, headers=[(b"retry-after", after)]
-            )
+            response = responses.refused(admission.retry_after(left))
             self._end(base.ResultCode.NO_LEAF, response)
             return
         if past_end:
--- a/trefoilpier/forward/single_run.py
+++ b/trefoilpier/forward/single_run.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING
 
 from trefoilpier import base, http1
-from trefoilpier.forward import admission, service_call
+from trefoilpier.forward import admission, responses, service_call
 
 if TYPE_CHECKING:
     from trefoilpier.forward import engine as engines
@@ -61,7 +61,7 @@
     def _fail(self, ran: base.Ran, reason: str) -> None:
         if ran is base.Ran.NO:
             left = self._spec.deadline - self._engine.clock.monotonic()
-            response = _refusal(left)
+            response = responses.refused(admission.retry_after(left))
             self._end(base.ResultCode.NO_LEAF, response, reason)
             return
         self._end(
@@ -109,8 +109,3 @@
             self._timer.cancel()
         self._call.abandon()
         self._engine.caller_left(self._spec, self._exchange.received_at)
-
-
-def _refusal(left_s: float) -> http1.HttpResponse:
-    after = b"%.3f" % admission.retry_after(left_s)
-    return http1.HttpResponse(status=503, headers=[(b"retry-after", after)])
