Soak judges planned stops and the time to put routes in force

Ruled out: judging the random SIGTERMs of the fault phase (other faults overlap nearly all of them).

Change: after the recovery one VM is told to stop while leafs are slow, so that requests are out; what a leaf ran and ended without an answer is a broken promise. Gathered answers sent later than 3 s after a newer set of shards was named must not use an older one, unless the store, its links or VMs were disturbed. Each check has a test that finds its fault and passes without it.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,6 +10,8 @@
 _RECORD_BYTES = 16
 _RECORDS_MAX = 5
 _LEAVING_S = 3.0  # The users' bound for a leaf that leaves.
+_IN_FORCE_S = 3.0  # The users' bound for new routes.
+_STOPPING_S = 6.0  # The users' bound for a VM that is told to stop.
 _CALM_S = 4.0  # The users' span in which an outage still excuses.
 # Share of the requests after the faults that must succeed.
 _RECOVERED_LEAST = 0.9
@@ -27,6 +29,8 @@
     found += _check_runs(soak_world, seen)
     found += _check_answers(soak_world, seen)
     found += _check_leaving(soak_world, applied)
+    found += _check_planned_stops(soak_world, seen, applied)
+    found += _check_in_force(soak_world, seen, applied)
     found += _check_recovery(seen, recovered_from)
     for vm in soak_world.vms:
         if vm.unplanned_ends:
@@ -128,23 +132,84 @@
     Judged only where nothing disturbed the store, its links or the VMs from
     shortly before the word until the bound.
     """
-    hiding = [
-        each
-        for each in applied
-        if each.name.startswith(("store", "link vm", "vm-", "all VMs"))
-    ]
     for each in soak_world.leaf_by_id.values():
         leaving_at = each.leaving_at
         if leaving_at is None:
             continue
-        begin, end = leaving_at - _CALM_S, leaving_at + _LEAVING_S
-        if any(h.at < end and h.at + h.seconds > begin for h in hiding):
+        if _disturbed(applied, leaving_at - _CALM_S, leaving_at + _LEAVING_S):
             continue
         late_s = each.leaf.last_request_at - leaving_at
         if late_s > _LEAVING_S:
             yield f"{each.leaf.id} got a request {late_s:.1f} s after leaving"
 
 
+def _disturbed(
+    applied: Sequence[faults.Disruption], begin: float, end: float
+) -> bool:
+    """Whether the store, its links or the VMs were disturbed in a span."""
+    return any(
+        each.at < end and each.at + each.seconds > begin
+        for each in applied
+        if each.name.startswith(("store", "link vm", "vm-", "all VMs"))
+    )
+
+
+def _check_planned_stops(
+    soak_world: tier_world.World,
+    seen: list[callers.Seen],
+    applied: Sequence[faults.Disruption],
+) -> Iterable[str]:
+    """A VM that is told to stop in calm answers what a leaf has run."""
+    ran = {
+        request_id
+        for each in soak_world.leaf_by_id.values()
+        for request_id in each.leaf.runs
+    }
+    for stop in applied:
+        if not stop.name.endswith(faults.PLANNED):
+            continue
+        vm = stop.name.split()[0]
+        for each in seen:
+            during = stop.at - 1.0 <= each.sent_at <= stop.at + _STOPPING_S
+            if each.vm != vm or not during or each.status:
+                continue
+            if each.id.encode() in ran:
+                yield f"{each.id} ran and was cut by the stop of {vm}"
+
+
+def _check_in_force(
+    soak_world: tier_world.World,
+    seen: list[callers.Seen],
+    applied: Sequence[faults.Disruption],
+) -> Iterable[str]:
+    """Routes are in force within the bound, where nothing disturbed it."""
+    version_by_service = {
+        shard: index
+        for index, shards in enumerate(soak_world.sets)
+        for shard in shards
+    }
+    service_by_seal = {
+        seal: each.service
+        for each in soak_world.leaf_by_id.values()
+        for seal in each.leaf.answer_by_seal
+    }
+    for each in seen:
+        if each.kind != "g" or each.status != 200:
+            continue
+        due = sum(at + _IN_FORCE_S < each.sent_at for at in soak_world.named_at)
+        seals, _ = published.parts_of(each.headers)
+        used = [
+            version_by_service.get(service_by_seal.get(seal, ""), due)
+            for seal in seals
+        ]
+        if all(version >= due - 1 for version in used):
+            continue
+        if not _disturbed(
+            applied, soak_world.named_at[due - 1] - _CALM_S, each.sent_at
+        ):
+            yield f"{each.id} used routes that were replaced before"
+
+
 def _check_recovery(
     seen: list[callers.Seen], recovered_from: float
 ) -> Iterable[str]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,10 @@
 
 from standins import link_proxy, opaque_leaf, tier_world
 
+PLANNED = "planned stop"
+# Makes requests last for some hundred milliseconds, so that a stop meets some.
+_BUSY_FACTOR = 10.0
+_BUSY_S = 0.7
 _GAP_S = (0.3, 2.0)
 _LAST_S = (0.5, 4.0)
 
@@ -48,6 +52,27 @@
         """Starts to disrupt."""
         reactor.callLater(self._rng.uniform(*_GAP_S), self._next)
 
+    def planned_stop(self) -> None:
+        """Stops one VM by the book, while leafs are at work for it."""
+        vm = self._rng.choice(self._world.vms)
+        for each in self._world.live_leafs:
+            each.leaf.faults = opaque_leaf.LeafFaults(slow_factor=_BUSY_FACTOR)
+
+        def stop() -> None:
+            vm.send_signal(signal.SIGTERM)
+            self.applied.append(
+                Disruption(
+                    name=f"{vm.name} {PLANNED}", at=self._now(), seconds=0.0
+                )
+            )
+
+        def end() -> None:
+            for each in self._world.leaf_by_id.values():
+                each.leaf.faults = opaque_leaf.LeafFaults()
+
+        reactor.callLater(_BUSY_S, stop)
+        reactor.callLater(2 * _BUSY_S, end)
+
     def stop(self) -> None:
         """Applies no more and ends those that are on."""
         self._stopped = True
--- a/soak/main.py
+++ b/soak/main.py
@@ -17,6 +17,7 @@
 
 _RECOVERY_S = 8.0  # The users allow 12 s; VMs start within one here.
 _AFTER_S = 3.0  # Requests that are judged after the recovery.
+_STOP_S = 4.0  # One VM is told to stop meanwhile.
 _LAST_S = 3.0  # For answers that are out.
 _FILES = 4096  # Connections, both ends of each in this process.
 
@@ -61,6 +62,8 @@
     await _sleep(_RECOVERY_S)
     recovered_from = clock.monotonic()
     await _sleep(_AFTER_S)
+    plan.planned_stop()
+    await _sleep(_STOP_S)
     load.stopped = True
     await _sleep(_LAST_S)
     found = checks.check_all(
@@ -100,7 +103,7 @@
         resource.RLIMIT_NOFILE,
         (_FILES, resource.getrlimit(resource.RLIMIT_NOFILE)[1]),
     )
-    total = 3.0 + args.seconds + _RECOVERY_S + _AFTER_S + _LAST_S
+    total = 3.0 + args.seconds + _RECOVERY_S + _AFTER_S + _STOP_S + _LAST_S
     print(f"soak: seed {seed}, about {total:.0f} s", flush=True)
     outcome: list[list[str]] = []
     with tempfile.TemporaryDirectory() as folder:
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -26,7 +26,10 @@
 
 def make_world(*leafs, sets=(("s1", "s2"),)):
     return types.SimpleNamespace(
-        leaf_by_id=dict(enumerate(leafs)), sets=list(sets), vms=[]
+        leaf_by_id=dict(enumerate(leafs)),
+        sets=list(sets),
+        named_at=[-10.0 for _ in sets],
+        vms=[],
     )
 
 
@@ -147,3 +150,47 @@
     assert not lines(faults.Disruption(name="store down", at=3.0, seconds=4.0))
     left.leaf.last_request_at = 12.5
     assert not lines()
+
+
+def test_a_request_that_ran_and_was_cut_by_a_planned_stop_is_found():
+    soak_world = make_world(make_leaf("single", x=answer("w1")))
+    stop = faults.Disruption(name=f"vm {faults.PLANNED}", at=1.5, seconds=0.0)
+
+    def lines(status, applied=(stop,)):
+        return [
+            line
+            for line in checks.check_all(
+                soak_world,
+                [seen("w1", status)],
+                recovered_from=0.0,
+                applied=applied,
+            )
+            if "was cut" in line
+        ]
+
+    assert lines(0)
+    assert not lines(502)
+    assert not lines(0, applied=())
+    assert not lines(
+        0, [faults.Disruption(name=stop.name, at=30.0, seconds=0.0)]
+    )
+
+
+def test_routes_that_were_replaced_long_before_are_found_unless_excused():
+    soak_world = make_world(*GOOD_LEAFS, sets=(("s1", "s2"), ("t1", "t2")))
+    request_seen = gathered("g1", [b"p1", b"p2"])
+
+    def lines(named_at, *applied):
+        soak_world.named_at = [-20.0, named_at]
+        return [
+            line
+            for line in checks.check_all(
+                soak_world, [request_seen], recovered_from=0.0, applied=applied
+            )
+            if "were replaced" in line
+        ]
+
+    assert lines(-5.0)
+    assert not lines(-1.0)
+    down = faults.Disruption(name="store down", at=-4.0, seconds=1.0)
+    assert not lines(-5.0, down)
--- a/standins/tier_world.py
+++ b/standins/tier_world.py
@@ -159,6 +159,7 @@
         vms: The VMs.
         leaf_by_id: All leafs that ever were.
         sets: The shard sets of all versions so far.
+        named_at: The monotonic instants at which each of them was written.
     """
 
     def __init__(
@@ -177,6 +178,7 @@
         self.model = platform_model.PlatformModel(clock=self._clock)
         self.leaf_by_id: dict[str, WorldLeaf] = {}
         self.sets: list[tuple[str, ...]] = []
+        self.named_at: list[float] = []
         self.version = 0
         self._shard_count = shard_count
         self._leaf_count = 0
@@ -245,6 +247,7 @@
             for _ in range(_LEAFS_A_SHARD):
                 self.add_leaf(shard)
         self.sets.append(shards)
+        self.named_at.append(self._clock.monotonic())
         self.model.put(
             published.ROUTES_KEY,
             published.routes_value(
