Words of gatherers that are gone are dropped

Ruled out: VMs that restart under their id (same entry).

Change: a block's words that have faded go when a new one comes. A test; it fails before.

Conclusion: the table is bounded by live gatherers of a block.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -443,16 +443,14 @@
     )
 
 
-def gatherers(
-    deployment: Deployment, count: int, *, pace: float = 1.0
-) -> Iterator[figures.Figure]:
+def gatherers(deployment: Deployment, count: int) -> Iterator[figures.Figure]:
     """Every node at a leaf's slots against a few that queue for them."""
     for factor in (0.5, 0.8, 1.2):
         made = make_fleet(deployment, gatherers=count)
         load = make_load(made, deployment)
         rate = factor * deployment.full_rate
-        load.run(rate=rate, seconds=1.0 * pace)
-        seen = load.run(rate=rate, seconds=2.0 * pace)
+        load.run(rate=rate, seconds=1.0)
+        seen = load.run(rate=rate, seconds=2.0)
         name = f"gatherers {deployment.name} {count} of 7 at {factor:g}x"
         yield figures.Figure(
             name=f"{name}/p50", value=seen.percentile_ms(50), unit="ms"
--- a/trefoilpier/board/board.py
+++ b/trefoilpier/board/board.py
@@ -109,8 +109,8 @@
         leaf_calls_extra: Hedges and retries among them.
         wait_by_block: For each block of other gatherers, the seconds that a
             call would wait there, and the monotonic instant of that word.
-        wait_by_gatherer: The same for each block and gatherer that has said
-            that calls wait there.
+        wait_by_gatherer: The same for each block, by gatherer; words that
+            have faded are dropped.
     """
 
     __slots__ = (
@@ -134,21 +134,28 @@
         self.leaf_calls = 0
         self.leaf_calls_extra = 0
         self.wait_by_block: dict[str, tuple[float, float]] = {}
-        self.wait_by_gatherer: dict[tuple[str, str], tuple[float, float]] = {}
+        self.wait_by_gatherer: dict[str, dict[str, tuple[float, float]]] = {}
 
     def learn_wait(
         self, block_id: str, node_id: str, *, wait: float, now: float
     ) -> None:
         """Takes in how long calls wait at a gatherer of a block."""
         self.wait_by_block[block_id] = (wait, now)
-        if wait:
-            self.wait_by_gatherer[block_id, node_id] = (wait, now)
-        else:
-            self.wait_by_gatherer.pop((block_id, node_id), None)
+        # Gatherers that are gone say nothing more: their words go with age.
+        kept = {
+            each: (left, at)
+            for each, (left, at) in self.wait_by_gatherer.get(
+                block_id, {}
+            ).items()
+            if left > now - at
+        }
+        kept[node_id] = (wait, now)
+        self.wait_by_gatherer[block_id] = kept
 
     def wait_at(self, block_id: str, node_id: str, now: float) -> float:
         """Returns the seconds a call waits there; the word fades with age."""
-        wait, at = self.wait_by_gatherer.get((block_id, node_id), (0.0, 0.0))
+        waits = self.wait_by_gatherer.get(block_id, {})
+        wait, at = waits.get(node_id, (0.0, 0.0))
         return max(0.0, wait - (now - at))
 
 
--- a/trefoilpier/routing/tests/test_placement.py
+++ b/trefoilpier/routing/tests/test_placement.py
@@ -1,5 +1,6 @@
 """Rendezvous placement while nodes come and go."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -89,3 +90,13 @@
         for index in range(40)
     }
     assert firsts == set(placement.gatherers(block, _GROUP))
+
+
+def test_words_of_gatherers_that_are_gone_are_dropped():
+    queries = board.QuerySection()
+    queries.learn_wait("b", "gone", wait=0.2, now=1.0)
+    queries.learn_wait("b", "here", wait=0.1, now=1.1)
+    assert queries.wait_at("b", "gone", 1.1) == pytest.approx(0.1)
+    queries.learn_wait("b", "here", wait=0.1, now=1.3)
+    assert set(queries.wait_by_gatherer["b"]) == {"here"}
+    assert queries.wait_at("b", "gone", 1.3) == 0.0
