--- a/standins/platform.py
+++ b/standins/platform.py
@@ -118,7 +118,7 @@
     def _handle_txn(self, request: httpd.HttpRequest) -> None:
         row = orjson.loads(request.body)
         for condition in row.get("precondition", []):
-            current = self._model.get(condition["key"])
+            current = self._model.current_value(condition["key"])
             if current.revision != condition["revision"]:
                 request.respond({"items": []}, 412)
                 return
--- a/standins/platform_model.py
+++ b/standins/platform_model.py
@@ -123,7 +123,7 @@
         self._count_prefix(key)
         if self.faults.stale_reads and key in self._previous_by_key:
             return self._previous_by_key[key]
-        return self._current_value(key)
+        return self.current_value(key)
 
     def put(
         self, key: str, value: str, expect: int | None, lease: str
@@ -131,7 +131,7 @@
         """Write a value; return None if its revision is not ``expect``."""
         self.counts.writes += 1
         self._count_prefix(key)
-        previous = self._current_value(key)
+        previous = self.current_value(key)
         if expect is not None and previous.revision != expect:
             return None
         self.revision += 1
@@ -169,7 +169,7 @@
         """Return the values of the keys with a prefix, by key."""
         self.counts.reads += 1
         keys = [key for key in self._value_by_key if key.startswith(prefix)]
-        value_by_key = {key: self._current_value(key) for key in sorted(keys)}
+        value_by_key = {key: self.current_value(key) for key in sorted(keys)}
         return {
             key: entry for key, entry in value_by_key.items() if entry.revision
         }
@@ -219,7 +219,7 @@
             wait: Seconds after which ``reply`` is called without a change.
             reply: Called with the value.
         """
-        current = self._current_value(key)
+        current = self.current_value(key)
         if self.faults.stale_reads and key in self._previous_by_key:
             current = self._previous_by_key[key]
         if current.revision != after and current.revision:
@@ -227,7 +227,7 @@
             reply(current)
             return
         self.watch_prefix(
-            key, self.revision, wait, lambda: reply(self._current_value(key))
+            key, self.revision, wait, lambda: reply(self.current_value(key))
         )
 
     def grant_lease(self, ttl: float) -> str:
@@ -281,7 +281,8 @@
         """Return the keys with a prefix, for tests."""
         return sorted(k for k in self._value_by_key if k.startswith(prefix))
 
-    def _current_value(self, key: str) -> StoredValue:
+    def current_value(self, key: str) -> StoredValue:
+        """Return the newest value of a key, also while reads are stale."""
         stored = self._value_by_key.get(key)
         if stored is None:
             return StoredValue(value="", revision=0)
--- a/trefoilpier/cli/vm_commands.py
+++ b/trefoilpier/cli/vm_commands.py
@@ -175,8 +175,8 @@
         common.JSON_OPTION,
     ]
     help = """Examples:
-  trefoilpier query gown-search '{"text": "silk"}' --vm 10.0.0.7:8080
-  trefoilpier query reserve '{"route": "gown-7"}' --vm 10.0.0.7:8080 --key k1
+  trefoilpier query gown-search '{{"text": "silk"}}' --vm 10.0.0.7:8080
+  trefoilpier query reserve '{{"route": "gown-7"}}' --vm 10.0.0.7:8080 --key k1
 
 Exit status: 0 answered, 2 invalid arguments, 7 rejected or no response."""
 
--- a/trefoilpier/peer/tcp.py
+++ b/trefoilpier/peer/tcp.py
@@ -233,7 +233,8 @@
         self._listening_ports.append(self._udp_port)
 
     def stop(self) -> None:
-        """Stop listening and close every link."""
+        """Stop listening and close every link; later datagrams are dropped."""
+        self._udp_port = None
         for port in self._listening_ports:
             port.stopListening()
         for link in list(self._link_by_peer.values()):
--- a/trefoilpier/query/remote.py
+++ b/trefoilpier/query/remote.py
@@ -157,6 +157,8 @@
     def _schedule_hedge(self, node_id: str) -> None:
         if not self._spec.service.repeatable:
             return
+        if self._hedge_timer is not None:
+            self._hedge_timer.cancel()
         tracker = self._latency_by_node.get(node_id)
         delay = _HEDGE_DELAY_DEFAULT_S
         if tracker is not None:
--- a/trefoilpier/query/request_runner.py
+++ b/trefoilpier/query/request_runner.py
@@ -309,7 +309,7 @@
             return
         now = self._clock.monotonic()
         if now >= run.deadline:
-            self._finish_not_run(run, base.ResultCode.DEADLINE_PASSED)
+            self._finish_without_result(run, base.ResultCode.DEADLINE_PASSED)
             return
         blocks = self._blocks(run)
         local_blocks = [
@@ -323,7 +323,7 @@
         if version is None:
             for block in blocks:
                 self._snapshots.discard_offer(block.id)
-            self._finish_not_run(run, base.ResultCode.NO_LEAF)
+            self._finish_without_result(run, base.ResultCode.NO_LEAF)
             return
         run.snapshot = routing.Snapshot(
             config_version=run.config_version,
@@ -386,6 +386,7 @@
             return
         if self._should_restart(run, result):
             run.restart_count += 1
+            run.ran_before = result.ran
             for block in self._blocks(run):
                 self._snapshots.discard_offer(block.id)
             self._log.emit(
@@ -440,23 +441,24 @@
                 total=total,
                 reason_by_missing=result.reason_by_missing,
             ),
-            ran=result.ran,
+            ran=run.ran_at_all(result.ran),
             retry_after=retry_after,
             leaf_calls=result.calls,
             extra_calls=result.extra_calls,
             choices=result.format_shards_by_leaf(),
         )
 
-    def _finish_not_run(
+    def _finish_without_result(
         self, run: run_state.Run, code: base.ResultCode
     ) -> None:
-        """Finish a request that has nothing in flight, as not run."""
+        """Finish a request that was not fanned out, or not again."""
         self._finish(
             run,
             outcome.Outcome(
                 code=code,
                 config_version=run.config_version,
                 coverage=outcome.Coverage(answered=0, total=len(run.shards)),
+                ran=run.ran_at_all(base.Ran.NO),
                 retry_after=_MIN_RETRY_AFTER,
             ),
         )
--- a/trefoilpier/query/run_state.py
+++ b/trefoilpier/query/run_state.py
@@ -26,6 +26,7 @@
         restart_count: Number of restarts at a newer snapshot.
         claim: The claim on the idempotency key, or None.
         finished: Whether the request has been answered or cancelled.
+        ran_before: Whether the request ran before its restart.
     """
 
     request: outcome.Request
@@ -42,6 +43,18 @@
     restart_count: int = 0
     claim: idempotency.Claim | None = None
     finished: bool = False
+    ran_before: base.Ran = base.Ran.NO
+
+    def ran_at_all(self, ran: base.Ran) -> base.Ran:
+        """Return whether the request ran, now or before its restart.
+
+        Args:
+            ran: Whether it ran since the restart.
+        """
+        for value in (base.Ran.YES, base.Ran.UNKNOWN):
+            if value in (ran, self.ran_before):
+                return value
+        return base.Ran.NO
 
 
 def classify_result(
--- a/trefoilpier/query/tests/test_gatherers.py
+++ b/trefoilpier/query/tests/test_gatherers.py
@@ -168,3 +168,34 @@
     cluster.network.loss = 1.0
     outcome = cluster.request_and_wait(entry_node, "search")
     assert outcome.coverage.answered == 4
+
+
+class _NoVersionAfterRestart:
+    """Snapshot tracker that knows no common version at the second choice."""
+
+    def __init__(self, tracker):
+        self._tracker = tracker
+        self.choices = 0
+
+    def __getattr__(self, name):
+        return getattr(self._tracker, name)
+
+    def choose_pinned_version(self, *args):
+        self.choices += 1
+        if self.choices > 1:
+            return None
+        return self._tracker.choose_pinned_version(*args)
+
+
+def test_request_that_ran_before_its_restart_is_not_reported_as_not_run():
+    cluster = _start_fleet(connection_limit=25)
+    for leaf_id, host in cluster.host_by_leaf.items():
+        if leaf_id.startswith("leaf-0-"):
+            host.model.setup.versions = [9]
+    runner = cluster.node_by_id["vm-1"].runner
+    runner._snapshots = _NoVersionAfterRestart(runner._snapshots)
+    outcome = cluster.request_and_wait("vm-1", "search")
+    assert runner._snapshots.choices == 2
+    assert any(host.model.ledger for host in cluster.host_by_leaf.values())
+    assert outcome.code == base.ResultCode.NO_LEAF
+    assert outcome.ran == base.Ran.YES
