Policy object, narrow environment of runs, and the fate of each second send in the log

Cause: no setting could be switched off to measure what it is worth, the log did not say why a missing shard's second send did not go out, and engine, runs and calls imported each other. Change: forward.ForwardPolicy and replicas.LeafPolicy hold what decides, with the former constants as defaults; TREFOILPIER_POLICY names an optional, checked INI file.

--- a/trefoilpier/forward/__init__.py
+++ b/trefoilpier/forward/__init__.py
@@ -3,6 +3,7 @@
 from trefoilpier.forward.budget import RetryBudget, RetryBudgetLimits
 from trefoilpier.forward.engine import ForwardEngine
 from trefoilpier.forward.histogram import BOUNDS_S, LatencyHistogram
+from trefoilpier.forward.policy import ForwardPolicy
 from trefoilpier.forward.wire import LeafAnswer, LeafWire, RequestMetadata
 
 __all__ = [
@@ -10,6 +11,7 @@
     "RetryBudgetLimits",
     "RequestMetadata",
     "ForwardEngine",
+    "ForwardPolicy",
     "LatencyHistogram",
     "LeafAnswer",
     "LeafWire",
--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -4,12 +4,14 @@
 from trefoilpier.forward import (
     admission,
     budget,
+    environment,
     gather_policy,
     gather_run,
     histogram,
     latency,
+    policy,
+    request_context,
     responses,
-    service_call,
     single_run,
     wait_queue,
     weighted_round_robin,
@@ -20,14 +22,10 @@
 _NO_ROUTES_RETRY_S = 0.1
 
 
-class ForwardEngine(http1.RequestHandler):
+class ForwardEngine(environment.ForwardEnvironment, http1.RequestHandler):
     """Request forwarding of one VM.
 
     Attributes:
-        clock: Clock for deadlines and timers.
-        registry: Known leaves and their connection pools.
-        chooser: Load balancer across the leaves of a service.
-        wire: Reader and writer of callers' and leaves' headers.
         in_flight: Admitted requests without a response.
         draining: Whether the VM is shutting down.
         vm_count: VMs that share each service's retry allowance.
@@ -45,17 +43,13 @@
         "_queue_by_service",
         "_split_by_route",
         "_table",
-        "chooser",
-        "clock",
         "count_by_outcome",
         "draining",
         "histogram",
         "in_flight",
-        "registry",
         "sends",
         "sends_extra",
         "vm_count",
-        "wire",
     )
 
     def __init__(
@@ -66,11 +60,12 @@
         wire: wires.LeafWire,
         chooser: replicas.LeafChooser,
         budget_limits: budget.RetryBudgetLimits,
+        forward_policy: policy.ForwardPolicy | None = None,
     ) -> None:
         self.clock = clock
+        self.policy = forward_policy or policy.ForwardPolicy()
         self.wire = wire
         self.chooser = chooser
-        self.registry: replicas.LeafRegistry
         self._table: routes.RouteTable | None = None
         self.draining = False
         self.in_flight = 0
@@ -139,7 +134,10 @@
         """Return the queue of calls that wait for a leaf of a service."""
         queue = self._queue_by_service.get(service)
         if queue is None:
-            queue = wait_queue.WaitQueue(clock=self.clock)
+            queue = wait_queue.WaitQueue(
+                clock=self.clock,
+                by_objective=self.policy.order_by_objective,
+            )
             self._queue_by_service[service] = queue
         return queue
 
@@ -157,8 +155,13 @@
         if service_queue is not None:
             service_queue.dispatch()
 
+    def record_send(self, *, extra: bool) -> None:
+        """Count a request sent to a leaf."""
+        self.sends += 1
+        self.sends_extra += extra
+
     def log_lost_call(
-        self, context: service_call.RequestContext, leaf_id: str, reason: str
+        self, context: request_context.RequestContext, leaf_id: str, reason: str
     ) -> None:
         """Log a call to a leaf that ended without a response."""
         self._log.emit(
@@ -209,7 +212,7 @@
             route.timeout_s if metadata.wait_s is None else metadata.wait_s
         )
         time_left_s = min(time_left_s, route.timeout_s)
-        context = service_call.RequestContext(
+        context = request_context.RequestContext(
             request=exchange.request,
             headers=self.wire.forwarded_headers(exchange.request),
             metadata=metadata,
@@ -223,9 +226,7 @@
             ),
         )
         services = self._choose_services(route)
-        refusal = admission.admit(
-            self._admission_state(route, services, time_left_s)
-        )
+        refusal = self._admit(route, services, time_left_s)
         if refusal is not None:
             self._refuse(
                 exchange, metadata, refusal.code, refusal.retry_after_s
@@ -234,11 +235,11 @@
         self.in_flight += 1
         if route.gather is not None:
             gather_run.GatherRun(
-                engine=self, exchange=exchange, context=context
+                env=self, exchange=exchange, context=context
             ).start()
         else:
             single_run.SingleRun(
-                engine=self,
+                env=self,
                 exchange=exchange,
                 context=context,
                 service=services[0],
@@ -257,6 +258,15 @@
             self._split_by_route[route.name] = selector
         return (selector.next(),)
 
+    def _admit(
+        self, route: routes.Route, services: tuple[str, ...], time_left_s: float
+    ) -> admission.Refusal | None:
+        if not self.policy.admission:
+            return None
+        return admission.admit(
+            self._admission_state(route, services, time_left_s)
+        )
+
     def _admission_state(
         self, route: routes.Route, services: tuple[str, ...], time_left_s: float
     ) -> admission.AdmissionState:
@@ -308,7 +318,7 @@
     def finish(
         self,
         exchange: http1.Exchange,
-        context: service_call.RequestContext,
+        context: request_context.RequestContext,
         code: base.ResultCode,
         response: http1.HttpResponse,
         fields: dict,
@@ -345,7 +355,7 @@
         exchange.respond(response)
 
     def handle_caller_disconnect(
-        self, context: service_call.RequestContext, received_at: float
+        self, context: request_context.RequestContext, received_at: float
     ) -> None:
         """Log a caller that disconnected before its response."""
         self.in_flight -= 1
--- /dev/null
+++ b/trefoilpier/forward/environment.py
@@ -0,0 +1,81 @@
+"""What the runs and calls of requests need from the VM."""
+
+import abc
+
+from trefoilpier import base, http1, replicas, routes
+from trefoilpier.forward import (
+    budget,
+    latency,
+    policy,
+    request_context,
+    wait_queue,
+)
+from trefoilpier.forward import wire as wires
+
+
+class ForwardEnvironment(abc.ABC):
+    """State and services of one VM that requests share.
+
+    Attributes:
+        clock: Clock for deadlines and timers.
+        registry: Known leaves and their connection pools.
+        chooser: Load balancer across the leaves of a service.
+        wire: Reader and writer of callers' and leaves' headers.
+        policy: Settings of the decisions.
+    """
+
+    __slots__ = ("chooser", "clock", "policy", "registry", "wire")
+
+    clock: base.Clock
+    registry: replicas.LeafRegistry
+    chooser: replicas.LeafChooser
+    wire: wires.LeafWire
+    policy: policy.ForwardPolicy
+
+    @abc.abstractmethod
+    def budget_for(self, service: str) -> budget.RetryBudget:
+        """Return the budget of retries and hedges of a service."""
+
+    @abc.abstractmethod
+    def queue_for(self, service: str) -> wait_queue.WaitQueue:
+        """Return the queue of calls that wait for a leaf of a service."""
+
+    @abc.abstractmethod
+    def latency_for(self, route: routes.Route) -> latency.LatencyEstimator:
+        """Return the latency estimator of a route."""
+
+    @abc.abstractmethod
+    def record_send(self, *, extra: bool) -> None:
+        """Count a request sent to a leaf.
+
+        Args:
+            extra: Whether it was a retry or a hedge.
+        """
+
+    @abc.abstractmethod
+    def log_lost_call(
+        self,
+        context: request_context.RequestContext,
+        leaf_id: str,
+        reason: str,
+    ) -> None:
+        """Log a call to a leaf that ended without a response."""
+
+    @abc.abstractmethod
+    def finish(
+        self,
+        exchange: http1.Exchange,
+        context: request_context.RequestContext,
+        code: base.ResultCode,
+        response: http1.HttpResponse,
+        fields: dict,
+    ) -> None:
+        """Send the response to an admitted request and log it."""
+
+    @abc.abstractmethod
+    def handle_caller_disconnect(
+        self,
+        context: request_context.RequestContext,
+        received_at: float,
+    ) -> None:
+        """Log a caller that disconnected before its response."""
--- a/trefoilpier/forward/gather_run.py
+++ b/trefoilpier/forward/gather_run.py
@@ -1,19 +1,16 @@
 """Scatter-gather requests over the shards of a route."""
 
-from typing import TYPE_CHECKING
-
 from trefoilpier import base, http1
 from trefoilpier.forward import (
     admission,
+    environment,
     gather_policy,
     merge,
+    request_context,
     responses,
     service_call,
 )
 
-if TYPE_CHECKING:
-    from trefoilpier.forward import engine as engines
-
 _MISSING_LOGGED_MAX = 6  # Limits the length of a log line.
 # The response must reach the caller before its deadline.
 _RESPONSE_MARGIN_S = 0.005
@@ -26,7 +23,7 @@
         "_call_by_service",
         "_context",
         "_done",
-        "_engine",
+        "_env",
         "_exchange",
         "_gather",
         "_part_by_seal",
@@ -42,12 +39,12 @@
     def __init__(
         self,
         *,
-        engine: "engines.ForwardEngine",
+        env: environment.ForwardEnvironment,
         exchange: http1.Exchange,
-        context: service_call.RequestContext,
+        context: request_context.RequestContext,
     ) -> None:
         assert context.route.gather is not None
-        self._engine = engine
+        self._env = env
         self._exchange = exchange
         self._context = context
         self._gather = context.route.gather
@@ -64,7 +61,7 @@
 
     def start(self) -> None:
         """Send the request to all shards."""
-        clock = self._engine.clock
+        clock = self._env.clock
         now = clock.monotonic()
         context = self._context
         respond_by = context.deadline - _RESPONSE_MARGIN_S
@@ -78,7 +75,7 @@
         self._exchange.on_disconnect = self._handle_caller_disconnect
         for service in self._gather.services:
             call = service_call.ServiceCall(
-                engine=self._engine,
+                env=self._env,
                 context=context,
                 service=service,
                 on_done=self._handle_result,
@@ -110,7 +107,7 @@
             self._advance(past_deadline=False)
 
     def _handle_objective_deadline(self) -> None:
-        self._past_objective = True
+        self._past_objective = self._env.policy.answer_at_objective
         self._advance(past_deadline=False)
 
     def _handle_deadline(self) -> None:
@@ -138,7 +135,7 @@
     def _answer(self) -> None:
         parts = self._part_by_seal
         missing = len(self._gather.services) - len(parts)
-        response = self._engine.wire.merged_response(
+        response = self._env.wire.merged_response(
             seals=list(parts),
             missing=missing,
             body=merge.merge_records(parts.values(), self._gather.records_max),
@@ -152,9 +149,7 @@
             for call in self._call_by_service.values()
         )
         if not may_have_run and self._ran is base.Ran.NO:
-            time_left_s = (
-                self._context.deadline - self._engine.clock.monotonic()
-            )
+            time_left_s = self._context.deadline - self._env.clock.monotonic()
             response = responses.make_refusal(
                 admission.retry_after(time_left_s)
             )
@@ -183,27 +178,27 @@
             "shards": len(self._gather.services),
             "present": len(self._part_by_seal),
             "sends": sends,
-            "missing": self._leaves_of_missing_shards(),
+            **self._describe_missing_shards(),
             "reason": self._reason,
         }
-        self._engine.finish(
-            self._exchange, self._context, code, response, fields
-        )
+        self._env.finish(self._exchange, self._context, code, response, fields)
 
-    def _leaves_of_missing_shards(self) -> dict[str, list[str]]:
-        """Return the leaves tried for missing shards, for the log."""
+    def _describe_missing_shards(self) -> dict[str, dict]:
+        """Return the leaves and hedges of missing shards, for the log."""
         missing = [
             call
             for call in self._call_by_service.values()
             if call.service not in self._present_services
-        ]
+        ][:_MISSING_LOGGED_MAX]
         return {
-            call.service: call.tried_leaf_ids
-            for call in missing[:_MISSING_LOGGED_MAX]
+            "missing": {call.service: call.tried_leaf_ids for call in missing},
+            "hedges": {
+                call.service: str(call.hedge_outcome) for call in missing
+            },
         }
 
     def _handle_caller_disconnect(self) -> None:
         self._stop()
-        self._engine.handle_caller_disconnect(
+        self._env.handle_caller_disconnect(
             self._context, self._exchange.received_at
         )
--- /dev/null
+++ b/trefoilpier/forward/policy.py
@@ -0,0 +1,35 @@
+"""Settings of the decisions on callers' requests."""
+
+from dataclasses import dataclass, field
+
+from trefoilpier import replicas
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ForwardPolicy:
+    """Switches and limits of the decisions on callers' requests.
+
+    Attributes:
+        leaves: Settings of the choice between leaves.
+        admission: Whether a request is refused at once if it cannot be
+            answered in time.
+        hedging: Whether a late call is sent to a second leaf.
+        hedge_reserved_share: Share of the retry budget reserved for retries
+            of failed calls: a late call may still be answered without a
+            hedge.
+        order_by_objective: Whether calls that wait for a leaf start in the
+            order of their objective; otherwise in the order of arrival.
+        answer_at_objective: Whether a gathered request is answered at its
+            latency objective with the parts received; otherwise all parts are
+            awaited until the deadline.
+        cancel_delay_s: Time that calls still have after their request ended,
+            in seconds; a call that completes keeps its connection.
+    """
+
+    leaves: replicas.LeafPolicy = field(default_factory=replicas.LeafPolicy)
+    admission: bool = True
+    hedging: bool = True
+    hedge_reserved_share: float = 0.4
+    order_by_objective: bool = True
+    answer_at_objective: bool = True
+    cancel_delay_s: float = 0.3
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -2,24 +2,20 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-from trefoilpier import base, http1, replicas, routes
-from trefoilpier.forward import wait_queue
+from trefoilpier import base, replicas
+from trefoilpier.forward import (
+    environment,
+    hedging,
+    request_context,
+    wait_queue,
+)
 from trefoilpier.forward import wire as wires
 
-if TYPE_CHECKING:
-    from trefoilpier.forward import engine as engines
-
 _CONNECT_ATTEMPTS_MAX = 3  # Unreachable leaves tried per request.
-# Calls may complete within this delay; leaves must stop within 0.5 s.
-_CANCEL_DELAY_S = 0.3
 # Leaves that may reject a request unprocessed: services usually have 3
 # replicas.
 _NOT_RUN_MAX = 3
-# Share of the budget reserved for retries of failed calls: a late call may
-# still be answered without a hedge.
-_HEDGE_RESERVED_SHARE = 0.4
 
 
 @dataclass(slots=True, kw_only=True)
@@ -44,34 +40,17 @@
         return self.answer is not None and self.answer.successful
 
 
-@dataclass(slots=True, kw_only=True)
-class RequestContext:
-    """State shared by all calls of one request.
-
-    Attributes:
-        request: The caller's request.
-        headers: Headers to forward to leaves.
-        metadata: Request id and timeout stated by the caller.
-        route: Route of the request, fixed when it was received.
-        deadline: Monotonic time at which the caller stops waiting.
-        objective_deadline: Monotonic time after which the answer misses the
-            route's latency objective.
-    """
-
-    request: http1.HttpRequest
-    headers: http1.Headers
-    metadata: wires.RequestMetadata
-    route: routes.Route
-    deadline: float
-    objective_deadline: float
-
-
 class ServiceCall(wait_queue.QueuedCall):
     """A request to one service, sent to its leaves until one answers.
 
     A repeatable request is sent to another leaf when the first is late or has
     failed, within the route's attempts and the service's retry budget. Other
     requests are sent again only if no leaf has run them.
+
+    Attributes:
+        hedge_outcome: What became of the call's hedge.
+        ran: Whether a leaf ran, or may have run, the request, as far as calls
+            have ended.
     """
 
     __slots__ = (
@@ -79,7 +58,7 @@
         "_connect_failures",
         "_context",
         "_done",
-        "_engine",
+        "_env",
         "_failed_answer",
         "_hedge_timer",
         "_not_run_count",
@@ -89,18 +68,19 @@
         "_sends",
         "_service",
         "_tried_leaf_ids",
+        "hedge_outcome",
         "ran",
     )
 
     def __init__(
         self,
         *,
-        engine: "engines.ForwardEngine",
-        context: RequestContext,
+        env: environment.ForwardEnvironment,
+        context: request_context.RequestContext,
         service: str,
         on_done: Callable[["ServiceCall", ServiceResult], None],
     ) -> None:
-        self._engine = engine
+        self._env = env
         self._context = context
         self._service = service
         self._on_done = on_done
@@ -116,6 +96,7 @@
         self._done = False
         self._queued = False
         self._reason = ""
+        self.hedge_outcome = hedging.HedgeOutcome.NOT_DUE
         self.ran = base.Ran.NO
 
     @property
@@ -135,7 +116,7 @@
 
     def start(self) -> None:
         """Start the call."""
-        self._engine.budget_for(self._service).record_request()
+        self._env.budget_for(self._service).record_request()
         self._send_or_enqueue()
 
     @property
@@ -159,15 +140,15 @@
     def _leave_queue(self) -> None:
         if self._queued:
             self._queued = False
-            self._engine.queue_for(self._service).mark_removed()
+            self._env.queue_for(self._service).mark_removed()
 
     def _pools(self) -> list[replicas.LeafPool]:
-        return self._engine.registry.pools_by_service.get(self._service, [])
+        return self._env.registry.pools_by_service.get(self._service, [])
 
     def _choose_pool(self) -> replicas.LeafPool | None:
-        return self._engine.chooser.choose(
+        return self._env.chooser.choose(
             self._pools(),
-            now=self._engine.clock.monotonic(),
+            now=self._env.clock.monotonic(),
             exclude=self._tried_leaf_ids,
         )
 
@@ -177,17 +158,11 @@
         if chosen is not None:
             self._send(chosen)
             return
-        now = self._engine.clock.monotonic()
-        usable = any(
-            pool.entry.id not in self._tried_leaf_ids
-            and not pool.stats.is_ejected(now)
-            for pool in self._pools()
-        )
-        if not usable:
+        if not self._has_other_usable_leaf():
             self._finish_failed(self._reason or "no leaf is usable")
             return
         self._queued = True
-        self._engine.queue_for(self._service).enqueue(
+        self._env.queue_for(self._service).enqueue(
             self,
             priority=self._context.route.priority,
             objective_deadline=self._context.objective_deadline,
@@ -199,13 +174,12 @@
         context = self._context
 
         def encode_request() -> bytes | None:
-            time_left_s = context.deadline - self._engine.clock.monotonic()
+            time_left_s = context.deadline - self._env.clock.monotonic()
             if time_left_s <= 0.001 or self._done:
                 return None
             self._sends += 1
-            self._engine.sends += 1
-            self._engine.sends_extra += self._sends > 1
-            return self._engine.wire.encode(
+            self._env.record_send(extra=self._sends > 1)
+            return self._env.wire.encode(
                 context.request,
                 context.headers,
                 leaf_id=leaf_id,
@@ -216,30 +190,53 @@
             method=context.request.method,
             request_id=context.metadata.id,
             repeatable=context.route.repeatable,
-            median_latency_s=self._engine.latency_for(context.route).median_s,
+            median_latency_s=self._env.latency_for(context.route).median_s,
             encode_request=encode_request,
             on_end=self._handle_call_end,
         )
         self._call_by_leaf[leaf_id] = (pool, call)
-        if context.route.repeatable and self._hedge_timer is None:
-            self._hedge_timer = self._engine.clock.call_later(
-                self._engine.latency_for(context.route).hedge_after_s,
+        if self._may_hedge() and self._hedge_timer is None:
+            self._hedge_timer = self._env.clock.call_later(
+                self._env.latency_for(context.route).hedge_after_s,
                 self._hedge,
             )
         pool.start(call)
 
+    def _may_hedge(self) -> bool:
+        return self._context.route.repeatable and self._env.policy.hedging
+
     def _hedge(self) -> None:
         """Send the request to another leaf while the first is late."""
-        if self._done or self._queued or not self._call_by_leaf:
-            return
-        if not self._has_attempts_left():
+        if self._done:
             return
         chosen = self._choose_pool()
-        if chosen is None:
+        obstacle = hedging.obstacle(
+            hedging.HedgeState(
+                in_flight=bool(self._call_by_leaf) and not self._queued,
+                attempt_left=self._has_attempts_left(),
+                other_usable=self._has_other_usable_leaf(),
+                leaf_free=chosen is not None,
+            )
+        )
+        if obstacle is not None or chosen is None:
+            self.hedge_outcome = obstacle or hedging.HedgeOutcome.NO_CAPACITY
             return
-        budget = self._engine.budget_for(self._service)
-        if budget.try_acquire(reserved_share=_HEDGE_RESERVED_SHARE):
-            self._send(chosen)
+        reserved_share = self._env.policy.hedge_reserved_share
+        budget = self._env.budget_for(self._service)
+        if not budget.try_acquire(reserved_share=reserved_share):
+            self.hedge_outcome = hedging.HedgeOutcome.NO_BUDGET
+            return
+        self.hedge_outcome = hedging.HedgeOutcome.SENT
+        self._send(chosen)
+
+    def _has_other_usable_leaf(self) -> bool:
+        """Return whether a leaf is usable that the call was not sent to."""
+        now = self._env.clock.monotonic()
+        return any(
+            pool.entry.id not in self._tried_leaf_ids
+            and not pool.stats.is_ejected(now)
+            for pool in self._pools()
+        )
 
     def _has_attempts_left(self) -> bool:
         """Return whether the route allows one more attempt."""
@@ -264,22 +261,20 @@
     ) -> None:
         """Handle the end of one call to a leaf."""
         pool = self._pop_pool(call)
-        now = self._engine.clock.monotonic()
+        now = self._env.clock.monotonic()
         if result.end is replicas.CallEnd.NOT_SENT:
             self._reason = result.reason
             self._retry_not_sent()
             return
         if result.end is replicas.CallEnd.LOST:
             pool.stats.record_failure(now)
-            self._engine.log_lost_call(
-                self._context, pool.entry.id, result.reason
-            )
+            self._env.log_lost_call(self._context, pool.entry.id, result.reason)
             self.ran = base.Ran.UNKNOWN
             self._reason = result.reason
             self._retry_failed()
             return
         assert result.response is not None
-        answer = self._engine.wire.read_answer(result.response)
+        answer = self._env.wire.read_answer(result.response)
         self._handle_answer(pool, call, answer, now)
 
     def _handle_answer(
@@ -292,7 +287,7 @@
         if answer.load is not None:
             pool.stats.record_load(answer.load, now)
         if answer.wrong_leaf:
-            self._engine.registry.remove_replaced(pool.entry.id)
+            self._env.registry.remove_replaced(pool.entry.id)
             self._reason = "another leaf now uses the address"
             self._retry_not_run()
             return
@@ -312,7 +307,7 @@
             self._retry_failed()
             return
         elapsed_s = now - call.sent_at
-        estimator = self._engine.latency_for(self._context.route)
+        estimator = self._env.latency_for(self._context.route)
         pool.stats.record_success(
             now=now, relative_latency=elapsed_s / estimator.median_s
         )
@@ -337,7 +332,7 @@
         may_retry = (
             self._not_run_count < _NOT_RUN_MAX and self._has_attempts_left()
         )
-        if may_retry and self._engine.budget_for(self._service).try_acquire():
+        if may_retry and self._env.budget_for(self._service).try_acquire():
             self._send_or_enqueue()
             return
         self._finish_failed(self._reason)
@@ -348,7 +343,7 @@
         if (
             self._context.route.repeatable
             and self._has_attempts_left()
-            and self._engine.budget_for(self._service).try_acquire()
+            and self._env.budget_for(self._service).try_acquire()
         ):
             self._send_or_enqueue()
             return
@@ -392,16 +387,16 @@
                 pool.cancel_call(call)
                 self._call_by_leaf.pop(pool.entry.id, None)
         if self._call_by_leaf:
-            self._engine.clock.call_later(
-                _CANCEL_DELAY_S, self._cancel_remaining
+            self._env.clock.call_later(
+                self._env.policy.cancel_delay_s, self._cancel_remaining
             )
 
     def _cancel_remaining(self) -> None:
         """Cancel calls that have not completed since the request ended."""
-        now = self._engine.clock.monotonic()
+        now = self._env.clock.monotonic()
         remaining, self._call_by_leaf = self._call_by_leaf, {}
         for pool, call in remaining.values():
-            median_latency_s = self._engine.latency_for(
+            median_latency_s = self._env.latency_for(
                 self._context.route
             ).median_s
             relative_latency = (now - call.sent_at) / median_latency_s
--- a/trefoilpier/forward/single_run.py
+++ b/trefoilpier/forward/single_run.py
@@ -1,12 +1,13 @@
 """Requests to a route without shards."""
 
-from typing import TYPE_CHECKING
-
 from trefoilpier import base, http1
-from trefoilpier.forward import admission, responses, service_call
-
-if TYPE_CHECKING:
-    from trefoilpier.forward import engine as engines
+from trefoilpier.forward import (
+    admission,
+    environment,
+    request_context,
+    responses,
+    service_call,
+)
 
 # The response must reach the caller before its deadline.
 _RESPONSE_MARGIN_S = 0.005
@@ -15,23 +16,23 @@
 class SingleRun:
     """A request that one leaf of one service answers."""
 
-    __slots__ = ("_call", "_context", "_done", "_engine", "_exchange", "_timer")
+    __slots__ = ("_call", "_context", "_done", "_env", "_exchange", "_timer")
 
     def __init__(
         self,
         *,
-        engine: "engines.ForwardEngine",
+        env: environment.ForwardEnvironment,
         exchange: http1.Exchange,
-        context: service_call.RequestContext,
+        context: request_context.RequestContext,
         service: str,
     ) -> None:
-        self._engine = engine
+        self._env = env
         self._exchange = exchange
         self._context = context
         self._done = False
         self._timer: base.Timer | None = None
         self._call = service_call.ServiceCall(
-            engine=engine,
+            env=env,
             context=context,
             service=service,
             on_done=self._handle_result,
@@ -39,8 +40,8 @@
 
     def start(self) -> None:
         """Send the request."""
-        time_left_s = self._context.deadline - self._engine.clock.monotonic()
-        self._timer = self._engine.clock.call_later(
+        time_left_s = self._context.deadline - self._env.clock.monotonic()
+        self._timer = self._env.clock.call_later(
             time_left_s - _RESPONSE_MARGIN_S, self._handle_deadline
         )
         self._exchange.on_disconnect = self._handle_caller_disconnect
@@ -57,16 +58,14 @@
                 if result.successful
                 else base.ResultCode.LEAF_FAILED
             )
-            response = self._engine.wire.relay(result.answer)
+            response = self._env.wire.relay(result.answer)
             self._finish(code, response, result.reason, result.leaf_id)
             return
         self._fail(result.ran, result.reason)
 
     def _fail(self, ran: base.Ran, reason: str) -> None:
         if ran is base.Ran.NO:
-            time_left_s = (
-                self._context.deadline - self._engine.clock.monotonic()
-            )
+            time_left_s = self._context.deadline - self._env.clock.monotonic()
             response = responses.make_refusal(
                 admission.retry_after(time_left_s)
             )
@@ -109,15 +108,13 @@
             "sends": self._call.sends,
             "reason": reason,
         }
-        self._engine.finish(
-            self._exchange, self._context, code, response, fields
-        )
+        self._env.finish(self._exchange, self._context, code, response, fields)
 
     def _handle_caller_disconnect(self) -> None:
         self._done = True
         if self._timer is not None:
             self._timer.cancel()
         self._call.cancel_calls()
-        self._engine.handle_caller_disconnect(
+        self._env.handle_caller_disconnect(
             self._context, self._exchange.received_at
         )
--- a/trefoilpier/forward/wait_queue.py
+++ b/trefoilpier/forward/wait_queue.py
@@ -40,6 +40,7 @@
     """
 
     __slots__ = (
+        "_by_objective",
         "_clock",
         "_dequeue_interval_s",
         "_dispatching",
@@ -49,8 +50,16 @@
         "count",
     )
 
-    def __init__(self, *, clock: base.Clock) -> None:
+    def __init__(self, *, clock: base.Clock, by_objective: bool = True) -> None:
+        """Create an empty queue.
+
+        Args:
+            clock: Clock of the waits.
+            by_objective: Whether calls are ordered by objective deadline;
+                otherwise by arrival.
+        """
         self._clock = clock
+        self._by_objective = by_objective
         self._queue: list[tuple[float, int, QueuedCall]] = []
         self._sequence = itertools.count()
         self._dispatching = False
@@ -71,7 +80,11 @@
         """
         if not self.count:
             self._last_dequeue_at = self._clock.monotonic()
-        sort_key = objective_deadline + _PRIORITY_STEP_S * priority
+        sort_key = (
+            objective_deadline + _PRIORITY_STEP_S * priority
+            if self._by_objective
+            else 0.0
+        )
         heapq.heappush(self._queue, (sort_key, next(self._sequence), call))
         self.count += 1
 
--- a/trefoilpier/replicas/__init__.py
+++ b/trefoilpier/replicas/__init__.py
@@ -2,6 +2,7 @@
 
 from trefoilpier.replicas.choice import LeafChooser
 from trefoilpier.replicas.entry import LeafEntry, LeafPhase
+from trefoilpier.replicas.policy import LeafPolicy
 from trefoilpier.replicas.pool import (
     CallEnd,
     CallResult,
@@ -20,6 +21,7 @@
     "LeafEntry",
     "LeafLoad",
     "LeafPhase",
+    "LeafPolicy",
     "LeafPool",
     "LeafRegistry",
     "LeafStats",
--- a/trefoilpier/replicas/choice.py
+++ b/trefoilpier/replicas/choice.py
@@ -3,25 +3,27 @@
 import random
 from collections.abc import Iterable
 
+from trefoilpier.replicas import policy as policies
 from trefoilpier.replicas import pool
 
-# Costs are in units of the median latency. Traffic between availability zones
-# is expensive, so a leaf of another zone is chosen only if the local leaves are
-# slower by this much: when they are slow or have no free slot.
-_OTHER_ZONE_COST = 1.2
-_NO_SLOT_COST = 0.5  # Average wait until a slot is free.
 _JITTER = 0.1  # Keeps VMs with equal statistics from choosing the same leaf.
-_OVERDUE_COST = 3.0  # An overdue call indicates a paused leaf.
 
 
 class LeafChooser:
     """Choice of the leaf with the lowest expected cost."""
 
-    __slots__ = ("_rng", "_zone")
+    __slots__ = ("_policy", "_rng", "_zone")
 
-    def __init__(self, *, rng: random.Random, zone: str) -> None:
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        zone: str,
+        policy: policies.LeafPolicy | None = None,
+    ) -> None:
         self._rng = rng
         self._zone = zone
+        self._policy = policy or policies.LeafPolicy()
 
     def choose(
         self,
@@ -52,9 +54,9 @@
     def _cost(self, candidate: "pool.LeafPool", now: float) -> float:
         cost = candidate.stats.expected_cost(now)
         if candidate.entry.zone != self._zone:
-            cost += _OTHER_ZONE_COST
+            cost += self._policy.other_zone_cost
         if candidate.stats.load(now) >= 1.0:
-            cost += _NO_SLOT_COST
+            cost += self._policy.no_slot_cost
         if candidate.has_overdue_call(now):
-            cost += _OVERDUE_COST
+            cost += self._policy.overdue_cost
         return cost * (1.0 + _JITTER * self._rng.random())
--- /dev/null
+++ b/trefoilpier/replicas/policy.py
@@ -0,0 +1,42 @@
+"""Settings of the choice between the leaves of a service."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LeafPolicy:
+    """Weights of the statistics and costs by which leaves are compared.
+
+    Costs are in units of the route's median latency. A cost of 0 or a factor
+    of 1 switches its mechanism off.
+
+    Attributes:
+        estimate_slowness: Whether a leaf's recent latencies count.
+        slowness_smoothing: Weight of a new latency sample.
+        slowness_max: Largest relative latency that a sample counts with, so
+            that one pause does not outweigh many good answers.
+        slowness_half_life_s: Time in which an old sample loses half its
+            weight, in seconds.
+        use_load_reports: Whether the load that leaves report counts.
+        eject_failing: Whether a leaf gets no requests for a while after
+            several failures in a row.
+        other_zone_cost: Cost of a leaf in another availability zone. Traffic
+            between zones is expensive, so a remote leaf is chosen only if the
+            local ones are slower by this much or have no free slot.
+        no_slot_cost: Cost of the average wait until a slot is free.
+        overdue_cost: Cost of an overdue call, which indicates a paused leaf.
+        warm_up_factor: Factor on the cost of a leaf that has just started.
+        shed_cost: Cost of a leaf that has just rejected a request.
+    """
+
+    estimate_slowness: bool = True
+    slowness_smoothing: float = 0.2
+    slowness_max: float = 6.0
+    slowness_half_life_s: float = 3.0
+    use_load_reports: bool = True
+    eject_failing: bool = True
+    other_zone_cost: float = 1.2
+    no_slot_cost: float = 0.5
+    overdue_cost: float = 3.0
+    warm_up_factor: float = 1.6
+    shed_cost: float = 4.0
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -9,6 +9,7 @@
 
 from trefoilpier import base, http1
 from trefoilpier.replicas import entry as entries
+from trefoilpier.replicas import policy as policies
 from trefoilpier.replicas import state
 
 # A leaf accepts a connection only when a slot is free for its handshake.
@@ -68,7 +69,6 @@
 
     __slots__ = (
         "connection",
-        "data",
         "done",
         "encode_request",
         "median_latency_s",
@@ -166,6 +166,7 @@
         id_header: bytes,
         on_capacity: Callable[["LeafPool"], None],
         reuse: ReusePolicy | None = None,
+        policy: policies.LeafPolicy | None = None,
     ) -> None:
         self._reuse_policy = reuse or ReusePolicy()
         self.entry = entry
@@ -173,7 +174,9 @@
         self.leaving = False
         now = clock.monotonic()
         self.stats = state.LeafStats(
-            slots=entry.slots, warm_up_until=now + entry.warm_up_s
+            slots=entry.slots,
+            warm_up_until=now + entry.warm_up_s,
+            policy=policy,
         )
         self._clock = clock
         self._reactor = reactor
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -10,6 +10,7 @@
 
 from trefoilpier import base
 from trefoilpier.replicas import entry as entries
+from trefoilpier.replicas import policy as policies
 from trefoilpier.replicas import pool
 
 # Live leaves register again within about 2 s after the store recovers.
@@ -39,6 +40,7 @@
         "_id_header",
         "_log",
         "_on_capacity",
+        "_policy",
         "_reactor",
         "_reuse_policy",
         "_vm_count",
@@ -56,8 +58,10 @@
         id_header: bytes,
         on_capacity: Callable[[pool.LeafPool], None],
         reuse: pool.ReusePolicy | None = None,
+        policy: policies.LeafPolicy | None = None,
     ) -> None:
         self._reuse_policy = reuse
+        self._policy = policy
         self._clock = clock
         self._log = log
         self._reactor = reactor
@@ -202,6 +206,7 @@
             id_header=self._id_header,
             on_capacity=self._on_capacity,
             reuse=self._reuse_policy,
+            policy=self._policy,
         )
         self.generation += 1
         self.pool_by_id[entry.id] = added
--- a/trefoilpier/replicas/state.py
+++ b/trefoilpier/replicas/state.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-_SMOOTHING = 0.2  # Weight of a new sample; averages about 10 answers.
-_RELATIVE_LATENCY_MAX = 6.0  # One pause must not outweigh 10 good answers.
-_SAMPLE_HALF_LIFE_S = 3.0  # Time in which a bad sample loses half its weight.
+from trefoilpier.replicas import policy as policies
+
+_SUCCESS_SMOOTHING = 0.2  # Averages about 10 answers.
 _CONSECUTIVE_FAILURES_MAX = 3  # Failures that eject a leaf.
 _EJECTION_MIN_S = 0.5  # First ejection; each further one is twice as long.
 _EJECTION_MAX_S = 4.0  # Shorter than three missed heartbeats of the platform.
@@ -48,6 +48,7 @@
         "_ejection_s",
         "_load_report",
         "_load_reported_at",
+        "_policy",
         "_relative_latency",
         "_sampled_at",
         "_shed_until",
@@ -57,7 +58,14 @@
         "slots",
     )
 
-    def __init__(self, *, slots: int, warm_up_until: float) -> None:
+    def __init__(
+        self,
+        *,
+        slots: int,
+        warm_up_until: float,
+        policy: policies.LeafPolicy | None = None,
+    ) -> None:
+        self._policy = policy or policies.LeafPolicy()
         self.slots = max(1, slots)
         self.in_flight = 0
         self._warm_up_until = warm_up_until
@@ -73,7 +81,8 @@
 
     def _decayed(self, value: float, now: float) -> float:
         age = max(0.0, now - self._sampled_at)
-        return 1.0 + (value - 1.0) * 0.5 ** (age / _SAMPLE_HALF_LIFE_S)
+        half_life_s = self._policy.slowness_half_life_s
+        return 1.0 + (value - 1.0) * 0.5 ** (age / half_life_s)
 
     def slowness(self, now: float) -> float:
         """Return the recent latency relative to the route's median."""
@@ -90,12 +99,9 @@
             now: Monotonic time.
             relative_latency: Latency divided by the route's median.
         """
-        before = self._decayed(self._relative_latency, now)
         success = self._decayed(self._success_rate, now)
-        self._relative_latency = before + _SMOOTHING * (
-            min(relative_latency, _RELATIVE_LATENCY_MAX) - before
-        )
-        self._success_rate = success + _SMOOTHING * (1.0 - success)
+        self._add_latency(relative_latency, now)
+        self._success_rate = success + _SUCCESS_SMOOTHING * (1.0 - success)
         self._sampled_at = now
         self._consecutive_failures = 0
         self._ejection_s = _EJECTION_MIN_S
@@ -108,19 +114,25 @@
             now: Monotonic time.
             relative_latency: Elapsed time divided by the route's median.
         """
-        before = self._decayed(self._relative_latency, now)
         self._success_rate = self._decayed(self._success_rate, now)
-        self._relative_latency = before + _SMOOTHING * (
-            min(relative_latency, _RELATIVE_LATENCY_MAX) - before
-        )
+        self._add_latency(relative_latency, now)
         self._sampled_at = now
 
+    def _add_latency(self, relative_latency: float, now: float) -> None:
+        if not self._policy.estimate_slowness:
+            return
+        before = self._decayed(self._relative_latency, now)
+        sample = min(relative_latency, self._policy.slowness_max)
+        self._relative_latency = before + self._policy.slowness_smoothing * (
+            sample - before
+        )
+
     def record_failure(self, now: float) -> None:
         """Record a failure; several consecutive ones eject the leaf."""
         relative = self._decayed(self._relative_latency, now)
         success = self._decayed(self._success_rate, now)
         self._relative_latency = relative
-        self._success_rate = success - _SMOOTHING * success
+        self._success_rate = success - _SUCCESS_SMOOTHING * success
         self._sampled_at = now
         self._consecutive_failures += 1
         if self._consecutive_failures >= _CONSECUTIVE_FAILURES_MAX:
@@ -146,7 +158,7 @@
         relative = self._decayed(self._relative_latency, now)
         success = self._decayed(self._success_rate, now)
         self._relative_latency = relative
-        self._success_rate = success - _SMOOTHING * success
+        self._success_rate = success - _SUCCESS_SMOOTHING * success
         self._sampled_at = now
         self._shed_until = now + _SHED_PENALTY_S
 
@@ -158,12 +170,12 @@
 
     def is_ejected(self, now: float) -> bool:
         """Return whether the leaf is ejected at this time."""
-        return now < self._ejected_until
+        return self._policy.eject_failing and now < self._ejected_until
 
     def load(self, now: float) -> float:
         """Return the estimated requests at the leaf divided by its slots."""
         others = 0.0
-        if self._load_report is not None:
+        if self._load_report is not None and self._policy.use_load_reports:
             age = max(0.0, now - self._load_reported_at)
             seen = self._load_report.running + self._load_report.waiting - 1
             others = max(0, seen) * 0.5 ** (age / _REPORT_HALF_LIFE_S)
@@ -173,8 +185,8 @@
         """Return the expected latency of a request relative to the median."""
         cost = self.slowness(now) * (1.0 + self.load(now))
         if now < self._warm_up_until:
-            cost *= 1.6
+            cost *= self._policy.warm_up_factor
         if now < self._shed_until:
-            cost += 4.0
+            cost += self._policy.shed_cost
         # A failure costs the time to detect it and part of the retry budget.
         return cost / self.success_rate(now) ** 2
--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -4,16 +4,18 @@
 import os
 import signal
 import sys
-from typing import Any
+from collections.abc import Iterable
+from typing import Any, NoReturn
 
 from twisted.internet import error, reactor
 
-from trefoilpier import base, fleet, http1, platform
+from trefoilpier import base, fleet, forward, http1, platform
 from trefoilpier.tier import line_log, metrics, pages, vm
 
 EXIT_OK = 0
 EXIT_INVALID_SETTINGS = 3
 EXIT_CANNOT_LISTEN = 4
+_POLICY_VARIABLE = "TREFOILPIER_POLICY"
 _LISTEN_BACKLOG = 512  # Connections waiting to be accepted after a stall.
 _METRICS_PORT = 9464  # Also named in the deploy file.
 # The balancer polls once a second and removes a VM after two failed polls.
@@ -29,7 +31,12 @@
 
     __slots__ = ("_boot", "_clock", "_log", "_metrics", "_servers", "_vm")
 
-    def __init__(self, *, boot: platform.BootSettings) -> None:
+    def __init__(
+        self,
+        *,
+        boot: platform.BootSettings,
+        policy: forward.ForwardPolicy,
+    ) -> None:
         self._boot = boot
         self._clock = base.ReactorClock(reactor=reactor)
         self._log = line_log.LineLog(
@@ -42,6 +49,7 @@
             log=self._log,
             reactor=reactor,
             on_limits=self._set_caller_limits,
+            policy=policy,
         )
         self._metrics = metrics.TierMetrics(
             engine_by_role=self._vm.engine_by_role,
@@ -197,15 +205,33 @@
         reactor.stop()
 
 
+def _exit_invalid(findings: Iterable[object]) -> NoReturn:
+    """Print what is wrong with the settings and end the process."""
+    for finding in findings:
+        print(f"{base.ResultCode.SETTINGS_INVALID} {finding}", file=sys.stderr)
+    sys.exit(EXIT_INVALID_SETTINGS)
+
+
+def _read_policy() -> forward.ForwardPolicy:
+    """Return the policy of the file that the environment names, if any."""
+    path = os.environ.get(_POLICY_VARIABLE, "")
+    if not path:
+        return forward.ForwardPolicy()
+    # Imported only if needed, since imports take most of the startup time.
+    from trefoilpier.tier import policy_file
+
+    read = policy_file.read_policy(path)
+    if read.is_error():
+        _exit_invalid(read.error)
+    return read.ok
+
+
 def run() -> None:
     """Read the settings, run the daemon and exit with a status."""
     read = platform.read_boot(os.environ.get(platform.BOOT_VARIABLE, ""))
     if read.is_error():
-        for finding in read.error:
-            code = base.ResultCode.SETTINGS_INVALID
-            print(f"{code} {finding}", file=sys.stderr)
-        sys.exit(EXIT_INVALID_SETTINGS)
-    daemon = TierDaemon(boot=read.ok)
+        _exit_invalid(read.error)
+    daemon = TierDaemon(boot=read.ok, policy=_read_policy())
     try:
         daemon.start()
     except error.CannotListenError as failure:
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -51,6 +51,7 @@
         "_leaf_registry",
         "_log",
         "_on_limits",
+        "_policy",
         "_peer_watch",
         "_registration",
         "_reactor",
@@ -73,6 +74,7 @@
         log: base.EventLog,
         reactor: Any,
         on_limits: Callable[[http1.CallerLimits], None],
+        policy: forward.ForwardPolicy,
     ) -> None:
         """Create the components; none runs before `start`.
 
@@ -82,7 +84,9 @@
             log: Log of events.
             reactor: Reactor that opens connections.
             on_limits: Called when the limits on callers' requests change.
+            policy: Settings of the decisions on requests.
         """
+        self._policy = policy
         self._boot = boot
         self._clock = clock
         self._log = log
@@ -144,8 +148,13 @@
             clock=self._clock,
             log=self._log,
             wire=wire,
-            chooser=replicas.LeafChooser(rng=self._rng, zone=self._boot.zone),
+            chooser=replicas.LeafChooser(
+                rng=self._rng,
+                zone=self._boot.zone,
+                policy=self._policy.leaves,
+            ),
             budget_limits=budget,
+            forward_policy=self._policy,
         )
         registry = replicas.LeafRegistry(
             clock=self._clock,
@@ -154,6 +163,7 @@
             id_header=wire.id_header,
             on_capacity=engine.start_queued_calls,
             reuse=reuse,
+            policy=self._policy.leaves,
         )
         engine.registry = registry
         return engine, registry
