--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -241,5 +241,6 @@
     # garbage collection.
     gc.collect()
     gc.freeze()
+    gc.enable()
     reactor.run()
     sys.exit(EXIT_OK)
--- a/trefoilpier/tier/tests/test_startup.py
+++ b/trefoilpier/tier/tests/test_startup.py
@@ -49,3 +49,22 @@
     os.close(settings)
     process.communicate()
     assert process.returncode == daemon.EXIT_INVALID_SETTINGS
+
+
+def test_imports_of_the_daemon_leave_out_what_it_does_not_use():
+    # After a loss of all VMs, callers wait for the imports of each process.
+    script = (
+        "import sys\n"
+        "from trefoilpier.tier import lazy_modules\n"
+        "for name in lazy_modules.UNUSED_BY_DAEMON:\n"
+        "    lazy_modules.load_lazily(name)\n"
+        "from trefoilpier.tier import daemon\n"
+        "print('http.client' in sys.modules, 'email' in sys.modules)\n"
+    )
+    run = subprocess.run(
+        [sys.executable, "-c", script],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert run.stdout.split() == ["False", "False"]
