Requests before the first routes wait for the first read or return late

Cause: after a loss of all VMs requests were told to return in 0.1 s, also while the store was away; callers have one retry, and it met the same outage. The VM itself paused up to 1 s between its reads. Change: admission.admit_without_routes holds a request up to 30 ms while the first read is under way, and once a read has failed refuses at once with 1 s, at most 0.3 of the caller's time. Reads pause at most 0.25 s until the first routes are there.

--- a/trefoilpier/forward/admission.py
+++ b/trefoilpier/forward/admission.py
@@ -9,6 +9,10 @@
 
 # An ejected leaf is tried again after about this time.
 _NO_LEAF_RETRY_S = 0.3
+# The first read of the store brings the routes within a few milliseconds.
+_FIRST_READ_WAIT_MAX_S = 0.03
+# An outage of the store lasts seconds, and callers have few retries.
+_STORE_OUTAGE_RETRY_S = 1.0
 # With shorter delays, callers that were refused together retry together.
 _RETRY_AFTER_MIN_S = 0.02
 # Callers obey Retry-After only up to a third of their remaining time.
@@ -92,6 +96,43 @@
     )
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StartupState:
+    """State of a VM that has no routes yet, and of one request to it.
+
+    Attributes:
+        read_failed: Whether the last attempt to read the routes failed.
+        waited_s: Seconds since the request was received.
+        time_left_s: Seconds until the caller's deadline.
+    """
+
+    read_failed: bool
+    waited_s: float
+    time_left_s: float
+
+
+def admit_without_routes(state: StartupState) -> Refusal | None:
+    """Return a refusal, or None if the request waits for the first routes.
+
+    After a loss of all VMs, requests arrive before the routes. While the first
+    read is under way, they wait for it. Once a read has failed, they are
+    refused at once and told to come back as late as they can still be
+    answered: a retry during the outage would be a caller's last.
+
+    >>> state = StartupState(read_failed=False, waited_s=0.0, time_left_s=1.0)
+    >>> admit_without_routes(state)
+    >>> state = StartupState(read_failed=True, waited_s=0.0, time_left_s=1.0)
+    >>> admit_without_routes(state).retry_after_s
+    0.3
+    """
+    if not state.read_failed and state.waited_s < _FIRST_READ_WAIT_MAX_S:
+        return None
+    return Refusal(
+        code=base.ResultCode.NO_CONFIGURATION,
+        retry_after_s=retry_after(state.time_left_s, _STORE_OUTAGE_RETRY_S),
+    )
+
+
 def retry_after(
     time_left_s: float, excess_s: float = _NO_LEAF_RETRY_S
 ) -> float:
--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -1,5 +1,7 @@
 """Admission, routing and completion of callers' requests."""
 
+from collections.abc import Callable
+
 from trefoilpier import base, http1, replicas, routes
 from trefoilpier.forward import (
     admission,
@@ -18,8 +20,10 @@
 )
 from trefoilpier.forward import wire as wires
 
-# A VM receives its routes within about this time after its start.
-_NO_ROUTES_RETRY_S = 0.1
+# Precision of the wait for the first routes.
+_ROUTES_CHECK_PAUSE_S = 0.01
+# Of a caller that states no deadline, while its route is unknown.
+_TIME_LEFT_DEFAULT_S = 1.0
 
 
 class ForwardEngine(environment.ForwardEnvironment, http1.RequestHandler):
@@ -28,6 +32,8 @@
     Attributes:
         in_flight: Admitted requests without a response.
         draining: Whether the VM is shutting down.
+        route_read_failed: Returns whether the last attempt to read the routes
+            failed.
         vm_count: VMs that share each service's retry allowance.
         histogram: Latencies of all completed requests.
         sends: Requests sent to leaves.
@@ -47,6 +53,7 @@
         "draining",
         "histogram",
         "in_flight",
+        "route_read_failed",
         "sends",
         "sends_extra",
         "vm_count",
@@ -79,6 +86,7 @@
         self._budget_by_service: dict[str, budget.RetryBudget] = {}
         self._queue_by_service: dict[str, wait_queue.WaitQueue] = {}
         self._latency_by_route: dict[str, latency.LatencyEstimator] = {}
+        self.route_read_failed: Callable[[], bool] = lambda: False
         self._split_by_route: dict[
             str, weighted_round_robin.WeightedRoundRobin
         ] = {}
@@ -181,12 +189,7 @@
         metadata = self.wire.read_metadata(request)
         table = self.table
         if table is None:
-            self._refuse(
-                exchange,
-                metadata,
-                base.ResultCode.NO_CONFIGURATION,
-                _NO_ROUTES_RETRY_S,
-            )
+            self._wait_for_routes(exchange, metadata)
             return
         host = http1.find_header(request.headers, b"host") or b""
         path = request.target.partition(b"?")[0]
@@ -202,6 +205,30 @@
             return
         self._start(exchange, metadata, route)
 
+    def _wait_for_routes(
+        self, exchange: http1.Exchange, metadata: wires.RequestMetadata
+    ) -> None:
+        """Handle the request again shortly, or refuse it."""
+        waited_s = self.clock.monotonic() - exchange.received_at
+        wait_s = metadata.wait_s
+        time_left_s = _TIME_LEFT_DEFAULT_S if wait_s is None else wait_s
+        refusal = admission.admit_without_routes(
+            admission.StartupState(
+                read_failed=self.route_read_failed(),
+                waited_s=waited_s,
+                time_left_s=time_left_s - waited_s,
+            )
+        )
+        if refusal is not None:
+            self._refuse(
+                exchange, metadata, refusal.code, refusal.retry_after_s
+            )
+            return
+        retry = self.clock.call_later(
+            _ROUTES_CHECK_PAUSE_S, self.handle, exchange
+        )
+        exchange.on_disconnect = retry.cancel
+
     def _start(
         self,
         exchange: http1.Exchange,
@@ -326,10 +353,10 @@
         """Send the response to an admitted request and log it."""
         self.in_flight -= 1
         assert self.table is not None
+        now = self.clock.monotonic()
         fields["route"] = context.route.name
-        fields["left_ms"] = round(
-            (context.deadline - self.clock.monotonic()) * 1000
-        )
+        fields["late"] = now > context.objective_deadline
+        fields["left_ms"] = round((context.deadline - now) * 1000)
         self._respond(exchange, context.metadata, code, response, fields)
 
     def _respond(
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -20,6 +20,8 @@
 _RETRY_PAUSE_MIN_S = 0.1  # First pause after a failed call.
 # Well below the time within which changes must be in force.
 _RETRY_PAUSE_MAX_S = 1.0
+# Before the first routes, when no request can be served.
+_RETRY_PAUSE_UNLOADED_MAX_S = 0.25
 _MALFORMED_KEYS_MAX = 200  # Limit on remembered malformed leaf entries.
 
 
@@ -27,6 +29,7 @@
     """Local copy of the store's items, kept up to date by watches.
 
     Attributes:
+        last_call_failed: Whether the last call to the store failed.
         loaded: Whether all items have been read, from the store or a peer.
         loaded_at: Monotonic time in seconds of the first complete read.
         loaded_from_store: Whether all items have been read from the store.
@@ -36,7 +39,6 @@
         "_short_watches_until",
         "_clock",
         "_directory",
-        "_last_call_failed",
         "_items_by_key",
         "_log",
         "_outage_reported",
@@ -49,6 +51,7 @@
         "_started",
         "_store",
         "_table",
+        "last_call_failed",
         "loaded",
         "loaded_at",
         "loaded_from_store",
@@ -78,7 +81,7 @@
         self._malformed_revision_by_key: dict[str, int] = {}
         self._started = False
         self._items_by_key: dict[str, store.Item] = {}
-        self._last_call_failed = False
+        self.last_call_failed = False
         self._outage_reported = False
         self._short_watches_until = 0.0
         self._pause_s = _RETRY_PAUSE_MIN_S
@@ -159,7 +162,7 @@
     @property
     def current(self) -> bool:
         """Whether all items were read and the last store call succeeded."""
-        return self.loaded_from_store and not self._last_call_failed
+        return self.loaded_from_store and not self.last_call_failed
 
     @property
     def version(self) -> int:
@@ -191,7 +194,7 @@
         )
         seen = await self._store.watch("", after=revision, wait_s=wait_s)
         if seen.is_error():
-            self._last_call_failed = True
+            self.last_call_failed = True
             self._log.emit(
                 base.Event.STORE_DOWN, problem=seen.error.detail, call="watch"
             )
@@ -285,15 +288,15 @@
 
     def _on_call_succeeded(self) -> None:
         self._pause_s = _RETRY_PAUSE_MIN_S
-        if self._last_call_failed:
-            self._last_call_failed = False
+        if self.last_call_failed:
+            self.last_call_failed = False
             self._log.emit(base.Event.STORE_UP, version=self.version)
         if self._outage_reported:
             self._outage_reported = False
             self._registry.handle_store_recovery()
 
     async def _on_read_failed(self, failure: base.Failure) -> None:
-        self._last_call_failed = True
+        self.last_call_failed = True
         if not self._outage_reported:
             self._outage_reported = True
             self._registry.handle_store_loss()
@@ -301,7 +304,10 @@
             base.Event.STORE_DOWN, problem=failure.detail, call="read"
         )
         pause_s = self._pause_s * self._rng.uniform(0.7, 1.3)
-        self._pause_s = min(_RETRY_PAUSE_MAX_S, 2 * self._pause_s)
+        pause_max_s = (
+            _RETRY_PAUSE_MAX_S if self.loaded else _RETRY_PAUSE_UNLOADED_MAX_S
+        )
+        self._pause_s = min(pause_max_s, 2 * self._pause_s)
         await self._sleep(pause_s)
 
     def _sleep(self, seconds: float) -> "defer.Deferred[None]":
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -117,6 +117,9 @@
             on_routes=self._apply_routes,
             on_members=self._apply_members,
         )
+        self._engine.route_read_failed = lambda: (
+            self._store_sync.last_call_failed
+        )
         self._registration: fleet.VmRegistration | None = None
         self._peer_sync = peer_sync.PeerSync(
             clock=clock, log=log, reactor=reactor, local_sync=self._store_sync
