bin/lab: a model of several VMs, leaves and callers, with experiments

Change: entry VMs run forward, replicas and http1 on one virtual clock; leaves have slots, a queue, a spread of work, pauses and faults; callers have deadlines and one retry. Scenarios are INI files; run, ablate and compare give credit with standard errors, paired by seed, JSON and a plot. Thin: no handshake slots, no resharding, VMs do not stop.

--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Model of entry VMs, leaves and callers, with experiments on policies."""
--- /dev/null
+++ b/lab/main.py
@@ -0,0 +1,199 @@
+"""Experiments on policies with simulated leaves and callers.
+
+    bin/lab run SCENARIO [--json FILE] [--plot FILE] [--jobs N]
+    bin/lab ablate SCENARIO [--json FILE] [--plot FILE] [--jobs N]
+    bin/lab compare BEFORE AFTER
+
+``run`` plays each policy of a scenario with each seed, ``ablate`` plays the
+default policy and one for each mechanism that is switched off, and ``compare``
+pairs the runs of two JSON files by policy and seed. Differences come with a
+standard error; one within two standard errors is no finding.
+"""
+
+import argparse
+import dataclasses
+import multiprocessing
+import pathlib
+import sys
+from collections.abc import Iterable
+
+import orjson
+
+from lab import results, world
+from lab import scenario as scenarios
+from trefoilpier import forward, replicas
+
+_JOBS_DEFAULT = 4
+_EXIT_INVALID = 2
+
+
+def ablations() -> dict[str, forward.ForwardPolicy]:
+    """Return the default policy, and one for each mechanism switched off.
+
+    >>> sorted(ablations())[:3]
+    ['cancel at once', 'default', 'no admission']
+    """
+    off = {"cancel at once": {"cancel_delay_s": 0.0}}
+    off["no reserve for retries"] = {"hedge_reserved_share": 0.0}
+    for name in (
+        "admission",
+        "answer_at_objective",
+        "hedging",
+        "order_by_objective",
+    ):
+        off[f"no {name.replace('_', ' ')}"] = {name: False}
+    leaves_off = {
+        "no slowness estimate": {"estimate_slowness": False},
+        "no load reports": {"use_load_reports": False},
+        "no ejection": {"eject_failing": False},
+        "no zone preference": {"other_zone_cost": 0.0},
+        "no slot cost": {"no_slot_cost": 0.0},
+        "no overdue cost": {"overdue_cost": 0.0},
+        "no warm-up factor": {"warm_up_factor": 1.0},
+        "no shed cost": {"shed_cost": 0.0},
+    }
+    policies = {"default": forward.ForwardPolicy()}
+    for name, changes in off.items():
+        policies[name] = forward.ForwardPolicy(**changes)
+    for name, changes in leaves_off.items():
+        leaves = replicas.LeafPolicy(**changes)
+        policies[name] = forward.ForwardPolicy(leaves=leaves)
+    return policies
+
+
+def run_one(
+    job: tuple[scenarios.Scenario, str, int],
+) -> results.RunFigures:
+    """Run one policy of a scenario with one seed."""
+    scenario, policy, seed = job
+    lab_world = world.LabWorld(
+        scenario=scenario, policy=scenario.policy_by_name[policy], seed=seed
+    )
+    lab_world.run()
+    return results.measure(
+        lab_world,
+        policy=policy,
+        seed=seed,
+        warm_up_s=scenario.load.warm_up_s,
+    )
+
+
+def run_all(
+    scenario: scenarios.Scenario, processes: int
+) -> list[results.RunFigures]:
+    """Run all policies with all seeds; print the progress."""
+    jobs = [
+        (scenario, policy, seed)
+        for seed in scenario.seeds
+        for policy in scenario.policy_by_name
+    ]
+    rows = []
+    with multiprocessing.Pool(processes) as pool:
+        for row in pool.imap_unordered(run_one, jobs):
+            rows.append(row)
+            print(
+                f"# {len(rows)} of {len(jobs)}: {row.policy}, seed {row.seed}: "
+                f"credit {row.credit:.4f}",
+                flush=True,
+            )
+    return sorted(rows, key=lambda row: (row.policy, row.seed))
+
+
+def write_plot(
+    rows: list[results.RunFigures], policies: list[str], path: pathlib.Path
+) -> None:
+    """Write a plot of the credit by second for each policy."""
+    import matplotlib  # noqa: PLC0415
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot  # noqa: PLC0415
+
+    figure, axes = pyplot.subplots(figsize=(9, 4))
+    for name in policies:
+        own = [row.credit_by_second for row in rows if row.policy == name]
+        seconds = sorted({second for row in own for second in row})
+        means = [
+            results.mean_and_error(
+                [row[second] for row in own if second in row]
+            )[0]
+            for second in seconds
+        ]
+        axes.plot(seconds, means, label=name)
+    axes.set_xlabel("seconds")
+    axes.set_ylabel("mean credit")
+    axes.legend(fontsize="small")
+    figure.savefig(path, bbox_inches="tight")
+
+
+def _print_findings(findings: Iterable[object]) -> None:
+    for finding in findings:
+        print(f"bin/lab: {finding}", file=sys.stderr)
+
+
+def _run_command(args: argparse.Namespace) -> int:
+    read = scenarios.read_scenario(args.scenario)
+    if read.is_error():
+        _print_findings(read.error)
+        return _EXIT_INVALID
+    scenario = read.ok
+    if args.command == "ablate":
+        scenario = dataclasses.replace(scenario, policy_by_name=ablations())
+    rows = run_all(scenario, args.jobs)
+    policies = list(scenario.policy_by_name)
+    print(results.table(rows, policies))
+    if args.json:
+        args.json.write_bytes(orjson.dumps(results.to_json(rows)))
+    if args.plot:
+        write_plot(rows, policies, args.plot)
+    return 0
+
+
+def _read_rows(path: pathlib.Path) -> list[results.RunFigures] | None:
+    try:
+        return results.from_json(orjson.loads(path.read_bytes()))
+    except (OSError, ValueError, TypeError, KeyError) as error:
+        _print_findings([f"{path}: {error}"])
+        return None
+
+
+def _compare_command(args: argparse.Namespace) -> int:
+    before, after = _read_rows(args.before), _read_rows(args.after)
+    if before is None or after is None:
+        return _EXIT_INVALID
+    credit_by_key = {(row.policy, row.seed): row.credit for row in before}
+    for policy in sorted({row.policy for row in after}):
+        gains = [
+            row.credit - credit_by_key[row.policy, row.seed]
+            for row in after
+            if row.policy == policy and (row.policy, row.seed) in credit_by_key
+        ]
+        gain, error = results.mean_and_error(gains)
+        print(f"{policy:<24} {gain:+.4f} +- {error:.4f} over {len(gains)}")
+    return 0
+
+
+def main() -> None:
+    """Run the command that the command line names."""
+    parser = argparse.ArgumentParser(
+        prog="bin/lab",
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(dest="command", required=True)
+    for name in ("run", "ablate"):
+        command = commands.add_parser(name)
+        command.add_argument("scenario", type=pathlib.Path)
+        command.add_argument("--json", type=pathlib.Path)
+        command.add_argument("--plot", type=pathlib.Path)
+        command.add_argument("--jobs", type=int, default=_JOBS_DEFAULT)
+        command.set_defaults(call=_run_command)
+    command = commands.add_parser("compare")
+    command.add_argument("before", type=pathlib.Path)
+    command.add_argument("after", type=pathlib.Path)
+    command.set_defaults(call=_compare_command)
+    args = parser.parse_args()
+    sys.exit(args.call(args))
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -119,13 +119,23 @@
 
     __slots__ = (
         "_clock",
+        "_connect_s",
         "_factory_by_address",
         "unresponsive_addresses",
         "transports",
     )
 
-    def __init__(self, *, clock: base.Clock) -> None:
+    def __init__(
+        self, *, clock: base.Clock, connect_s: float = 2 * _ONE_WAY_DELAY_S
+    ) -> None:
+        """Create a network without listeners.
+
+        Args:
+            clock: Clock of the simulation.
+            connect_s: Time to open a connection, in seconds.
+        """
         self._clock = clock
+        self._connect_s = connect_s
         self._factory_by_address: dict[tuple[str, int], Any] = {}
         self.unresponsive_addresses: set[tuple[str, int]] = set()
         self.transports: list[MemoryTransport] = []
@@ -148,7 +158,7 @@
             )
             return
         self._clock.call_later(
-            2 * _ONE_WAY_DELAY_S, self._connect, host, port, factory
+            self._connect_s, self._connect, host, port, factory
         )
 
     def _fail_connection(self, factory: Any, reason: Exception) -> None:
--- a/standins/memory_tier.py
+++ b/standins/memory_tier.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from standins import memory_net, opaque_leaf
+from standins import memory_net, opaque_caller, opaque_leaf
 from trefoilpier import base, forward, http1, platform, replicas, routes
 
 _LEAF_HOST = "10.0.0.1"
@@ -161,10 +161,7 @@
     ) -> None:
         """Send a caller's request; its response is stored in `answers`."""
         sent_at = self.clock.monotonic()
-        headers = [
-            (b"x-request-id", request_id.encode()),
-            (b"x-deadline-ms", b"%d" % int(wait_s * 1000)),
-        ]
+        headers = opaque_caller.attempt_headers(request_id.encode(), wait_s)
 
         def on_outcome(
             outcome: http1.ResponseReceived | http1.RequestFailed,
--- a/standins/opaque_leaf.py
+++ b/standins/opaque_leaf.py
@@ -6,6 +6,7 @@
 
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from trefoilpier import base, http1
@@ -27,6 +28,7 @@
         unsigned_share: Share of responses without a signature.
         cut_share: Share of responses that are truncated.
         paused: Whether the leaf neither starts nor completes requests.
+        stopped: The same, independent of pauses.
     """
 
     slow_factor: float = 1.0
@@ -37,6 +39,12 @@
     unsigned_share: float = 0.0
     cut_share: float = 0.0
     paused: bool = False
+    stopped: bool = False
+
+    @property
+    def held_up(self) -> bool:
+        """Whether the leaf neither starts nor completes requests."""
+        return self.paused or self.stopped
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -69,7 +77,7 @@
         "_queue",
         "_rng",
         "_running_count",
-        "_service_time_s",
+        "_work_time",
         "response_by_seal",
         "faults",
         "id",
@@ -90,10 +98,25 @@
         work_s: float = 0.01,
         slots: int = 2,
         queue_max: int = 12,
+        work_time: Callable[[http1.HttpRequest], float] | None = None,
     ) -> None:
+        """Create an idle leaf.
+
+        Args:
+            clock: Clock of the simulation.
+            rng: Source of random numbers.
+            leaf_id: Instance id.
+            work_s: Mean work of a request in seconds.
+            slots: Maximum number of requests that run concurrently.
+            queue_max: Maximum number of queued requests.
+            work_time: Returns the work of a request in seconds, instead of
+                ``work_s``.
+        """
+        self._work_time = work_time or (
+            lambda request: work_s * rng.uniform(0.8, 1.2)
+        )
         self._clock = clock
         self._rng = rng
-        self._service_time_s = work_s
         self._queue: deque[http1.Exchange] = deque()
         self._paused_exchanges: list[http1.Exchange] = []
         self._running_count = 0
@@ -151,26 +174,28 @@
 
     def _start_next(self) -> None:
         while self._queue and self._running_count < self.slots:
-            if self.faults.paused:
+            if self.faults.held_up:
                 return
             exchange = self._queue.popleft()
             self._running_count += 1
             self.runs.append(self._request_id(exchange))
-            work_s = self._service_time_s * self.faults.slow_factor
+            work_s = self._work_time(exchange.request)
             self._clock.call_later(
-                work_s * self._rng.uniform(0.8, 1.2), self._finish, exchange
+                work_s * self.faults.slow_factor, self._finish, exchange
             )
 
     def resume(self) -> None:
         """End a pause and complete the requests that it held up."""
         self.faults.paused = False
+        if self.faults.stopped:
+            return
         held_exchanges, self._paused_exchanges = self._paused_exchanges, []
         for exchange in held_exchanges:
             self._finish(exchange)
         self._start_next()
 
     def _finish(self, exchange: http1.Exchange) -> None:
-        if self.faults.paused:
+        if self.faults.held_up:
             self._paused_exchanges.append(exchange)
             return
         self._running_count -= 1
