An answer at the objective is not logged as late

Cause: the timer of the objective fires at its margin, so every answer sent then counted as late; lines cut in two by the collector were read at their own time. Change: gather_policy.is_late allows for the margin; lost-credit leaves lines without the collector's time out where others have it.

--- a/bench/lost_credit.py
+++ b/bench/lost_credit.py
@@ -134,11 +134,19 @@
 
 
 def read_ends(lines: Iterable[str]) -> Iterator[Ended]:
-    """Yield the ends of requests; other and damaged lines are left out."""
+    """Yield the ends of requests; other and damaged lines are left out.
+
+    Where a collector puts a time before the lines, one without is damaged.
+    """
+    timed = False
     for line in lines:
         prefix, brace, text = line.partition("{")
+        time_s = _read_time(prefix)
+        timed = timed or time_s is not None
         if not brace or base.Event.REQUEST_ENDED.number not in text:
             continue
+        if timed and time_s is None:
+            continue
         try:
             row = orjson.loads(brace + text)
         except orjson.JSONDecodeError:
@@ -147,18 +155,19 @@
         if row.get("code") == base.ResultCode.NO_ROUTE:
             continue
         yield Ended(
-            at=_read_time(prefix, row["at"]),
+            at=row["at"] if time_s is None else time_s,
             route=row.get("route", ""),
             lost_by_cause=lost_credit(row),
         )
 
 
-def _read_time(prefix: str, default: float) -> float:
+def _read_time(prefix: str) -> float | None:
+    """Return the time before a line's object, or None."""
     words = prefix.split()
     try:
-        return float(words[0]) if words else default
+        return float(words[0]) if words else None
     except ValueError:
-        return default
+        return None
 
 
 def make_account(ends: Iterable[Ended], window_s: float) -> Account:
--- a/bench/tests/test_lost_credit.py
+++ b/bench/tests/test_lost_credit.py
@@ -59,3 +59,6 @@
 def test_other_and_damaged_lines_are_left_out():
     lines = ["what happened\n", line(0.1)[:-9], line(0.2, "TPR-2010", 404)]
     assert account_of(lines).requests == 0
+    untimed = line(0.3).removeprefix("0.3 vm-1 ")
+    assert account_of([line(0.1), untimed]).requests == 1
+    assert account_of([untimed]).requests == 1
--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -355,7 +355,9 @@
         assert self.table is not None
         now = self.clock.monotonic()
         fields["route"] = context.route.name
-        fields["late"] = now > context.objective_deadline
+        fields["late"] = gather_policy.is_late(
+            now=now, objective_deadline=context.objective_deadline
+        )
         fields["left_ms"] = round((context.deadline - now) * 1000)
         self._respond(exchange, context.metadata, code, response, fields)
 
--- a/trefoilpier/forward/gather_policy.py
+++ b/trefoilpier/forward/gather_policy.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 # Time for late timers and for merging and writing the response.
-_RESPONSE_MARGIN_S = 0.004
+RESPONSE_MARGIN_S = 0.004
 
 
 class GatherStep(enum.Enum):
@@ -55,10 +55,19 @@
     ...                          network_s=0.004, objective_s=0.118), 3)
     5.11
     """
-    spent_s = waited_s + network_s + _RESPONSE_MARGIN_S
+    spent_s = waited_s + network_s + RESPONSE_MARGIN_S
     return received_at + objective_s - spent_s
 
 
+def is_late(*, now: float, objective_deadline: float) -> bool:
+    """Return whether an answer sent now misses the objective.
+
+    >>> is_late(now=5.112, objective_deadline=5.11)
+    False
+    """
+    return now > objective_deadline + RESPONSE_MARGIN_S
+
+
 def meets_coverage(state: GatherState, part_count: int) -> bool:
     """Return whether this number of parts reaches the minimum coverage."""
     return (
