Watches are short only after a failure, not after every start

Hypothesis: the short watches of the first 5 s cost four calls to the store a restart; they guard against a watch that starts while the store discards its history, and a clean first read shows no such trouble. Change: short watches follow a read only if a call failed or the history was dropped since the last one.

--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -13,7 +13,7 @@
 # must be in force (3 s).
 _WATCH_TIMEOUT_S = 4.0
 # Such a watch is likely after a failure, so watches are shorter for a while
-# after each complete read.
+# after the complete read that follows one.
 _SHORT_WATCH_TIMEOUT_S = 1.0
 _SHORT_WATCH_PERIOD_S = 5.0
 _CHANGE_BATCH_PAUSE_S = 0.5  # Batches changes in quick succession.
@@ -39,6 +39,7 @@
         "_short_watches_until",
         "_clock",
         "_directory",
+        "_failed_since_load",
         "_items_by_key",
         "_log",
         "_outage_reported",
@@ -83,6 +84,7 @@
         self._items_by_key: dict[str, store.Item] = {}
         self.last_call_failed = False
         self._outage_reported = False
+        self._failed_since_load = False
         self._short_watches_until = 0.0
         self._pause_s = _RETRY_PAUSE_MIN_S
         self.loaded = False
@@ -113,13 +115,16 @@
 
     async def _load(self) -> int:
         """Read all items; return their revision, or 0 on failure."""
-        self._short_watches_until = (
-            self._clock.monotonic() + _SHORT_WATCH_PERIOD_S
-        )
+        if self._failed_since_load:
+            self._short_watches_until = (
+                self._clock.monotonic() + _SHORT_WATCH_PERIOD_S
+            )
         read = await self._store.read_all("")
         if read.is_error():
+            self._failed_since_load = True
             await self._on_read_failed(read.error)
             return 0
+        self._failed_since_load = False
         self._on_call_succeeded()
         snapshot = read.ok
         self._items_by_key = {item.key: item for item in snapshot.items}
@@ -195,12 +200,14 @@
         seen = await self._store.watch("", after=revision, wait_s=wait_s)
         if seen.is_error():
             self.last_call_failed = True
+            self._failed_since_load = True
             self._log.emit(
                 base.Event.STORE_DOWN, problem=seen.error.detail, call="watch"
             )
             return 0
         self._on_call_succeeded()
         if seen.ok.history_gone:
+            self._failed_since_load = True
             return 0
         self._apply_changes(seen.ok.changes)
         if seen.ok.changes:
--- a/trefoilpier/tier/tests/test_store_sync.py
+++ b/trefoilpier/tier/tests/test_store_sync.py
@@ -258,3 +258,9 @@
     harness.store.put("servers/a", b"{}")
     harness.store.complete_watch("servers/a")
     assert harness.leaf_ids() == ["b", "c", "d"]
+
+
+def test_watches_are_not_short_after_a_clean_start(harness):
+    # Each restart cost four calls to the store more.
+    harness.sync.start()
+    assert harness.store.watches[-1][1] > 2.0
