Hedges may use more of the retry budget, and a VM that starts earns its allowance

Change: reserve for retries 0.4 -> 0.2, margin 0.8 -> 0.9. A restart no longer grants the whole allowance at once: a quarter at the start, the rest within the first window.

--- a/trefoilpier/forward/budget.py
+++ b/trefoilpier/forward/budget.py
@@ -6,8 +6,11 @@
 from trefoilpier import base
 
 _BUCKET_WIDTH_S = 0.5  # Resolution of the sliding window.
-# Margin because the windows of different VMs are not aligned.
-_SAFETY_FACTOR = 0.8
+# Margin for the delay between the decision to send and the arrival.
+_SAFETY_FACTOR = 0.9
+# Share of the allowance that a VM has at its start; the rest accrues within the
+# first window, since the VM does not know what it spent before a restart.
+_INITIAL_ALLOWANCE_SHARE = 0.25
 
 
 class RetryBudget:
@@ -20,9 +23,13 @@
         allowance: This VM's part of the allowance.
 
     >>> clock = base.VirtualClock()
-    >>> budget = RetryBudget(clock=clock, share=0.2, window_s=10.0, allowance=2)
-    >>> budget.try_acquire(), budget.try_acquire()
-    (True, False)
+    >>> budget = RetryBudget(clock=clock, share=0.2, window_s=10.0, allowance=4,
+    ...                      started_at=clock.monotonic())
+    >>> budget.try_acquire()
+    False
+    >>> clock.advance(10.0)
+    >>> [budget.try_acquire() for _ in range(4)]
+    [True, True, True, False]
     """
 
     __slots__ = (
@@ -31,6 +38,7 @@
         "_extra_count",
         "_request_count",
         "_share",
+        "_started_at",
         "_window_s",
         "allowance",
     )
@@ -42,8 +50,19 @@
         share: float,
         window_s: float,
         allowance: float,
+        started_at: float,
     ) -> None:
+        """Create a budget of which nothing is spent.
+
+        Args:
+            clock: Clock of the window.
+            share: Retries and hedges allowed per request.
+            window_s: Length of the sliding window in seconds.
+            allowance: This VM's part of the allowance.
+            started_at: Monotonic time at which the VM started.
+        """
         self._clock = clock
+        self._started_at = started_at
         self._share = share
         self._window_s = window_s
         self.allowance = allowance
@@ -67,6 +86,14 @@
         self._current_bucket()[1] += 1
         self._request_count += 1
 
+    def _accrued_allowance(self) -> float:
+        """Return the part of the allowance that this VM may use by now."""
+        uptime_s = self._clock.monotonic() - self._started_at
+        accrued = _INITIAL_ALLOWANCE_SHARE + (
+            (1.0 - _INITIAL_ALLOWANCE_SHARE) * uptime_s / self._window_s
+        )
+        return self.allowance * min(1.0, accrued)
+
     def try_acquire(self, *, reserved_share: float = 0.0) -> bool:
         """Count a retry or hedge if the budget allows it.
 
@@ -78,7 +105,7 @@
         """
         bucket = self._current_bucket()
         allowed = _SAFETY_FACTOR * (
-            self._share * self._request_count + self.allowance
+            self._share * self._request_count + self._accrued_allowance()
         )
         if self._extra_count + 1 > allowed * (1.0 - reserved_share):
             return False
@@ -106,11 +133,20 @@
     window_s: float
     allowance: float
 
-    def make_budget(self, clock: base.Clock, vm_count: int) -> RetryBudget:
-        """Return the budget of one VM."""
+    def make_budget(
+        self, clock: base.Clock, vm_count: int, started_at: float
+    ) -> RetryBudget:
+        """Return the budget of one VM.
+
+        Args:
+            clock: Clock of the window.
+            vm_count: VMs that share the allowance.
+            started_at: Monotonic time at which the VM started.
+        """
         return RetryBudget(
             clock=clock,
             share=self.share,
             window_s=self.window_s,
             allowance=self.allowance / vm_count,
+            started_at=started_at,
         )
--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -48,6 +48,7 @@
         "_log",
         "_queue_by_service",
         "_split_by_route",
+        "_started_at",
         "_table",
         "count_by_outcome",
         "draining",
@@ -82,6 +83,7 @@
         self.sends = 0
         self.sends_extra = 0
         self._log = log
+        self._started_at = clock.monotonic()
         self._budget_limits = budget_limits
         self._budget_by_service: dict[str, budget.RetryBudget] = {}
         self._queue_by_service: dict[str, wait_queue.WaitQueue] = {}
@@ -125,7 +127,7 @@
         service_budget = self._budget_by_service.get(service)
         if service_budget is None:
             service_budget = self._budget_limits.make_budget(
-                self.clock, self.vm_count
+                self.clock, self.vm_count, self._started_at
             )
             self._budget_by_service[service] = service_budget
         return service_budget
--- a/trefoilpier/forward/policy.py
+++ b/trefoilpier/forward/policy.py
@@ -29,7 +29,7 @@
     leaves: replicas.LeafPolicy = field(default_factory=replicas.LeafPolicy)
     admission: bool = True
     hedging: bool = True
-    hedge_reserved_share: float = 0.4
+    hedge_reserved_share: float = 0.2
     order_by_objective: bool = True
     answer_at_objective: bool = True
     cancel_delay_s: float = 0.3
