Attempts of a call are a module of their own

Cause: service_call counted attempts, rejections and unreachable leaves between choosing, hedging and cancelling.

--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -5,6 +5,7 @@
 
 from trefoilpier import base, replicas
 from trefoilpier.forward import (
+    attempts,
     environment,
     hedging,
     request_context,
@@ -12,11 +13,6 @@
 )
 from trefoilpier.forward import wire as wires
 
-_CONNECT_ATTEMPTS_MAX = 3  # Unreachable leaves tried per request.
-# Leaves that may reject a request unprocessed: services usually have 3
-# replicas.
-_NOT_RUN_MAX = 3
-
 
 @dataclass(slots=True, kw_only=True)
 class ServiceResult:
@@ -54,20 +50,17 @@
     """
 
     __slots__ = (
+        "_attempts",
         "_call_by_leaf",
-        "_connect_failures",
         "_context",
         "_done",
         "_env",
         "_failed_answer",
         "_hedge_timer",
-        "_not_run_count",
         "_on_done",
         "_queued",
         "_reason",
-        "_sends",
         "_service",
-        "_tried_leaf_ids",
         "hedge_outcome",
         "ran",
     )
@@ -87,10 +80,9 @@
         self._call_by_leaf: dict[
             str, tuple[replicas.LeafPool, replicas.LeafCall]
         ] = {}
-        self._tried_leaf_ids: set[str] = set()
-        self._sends = 0
-        self._not_run_count = 0
-        self._connect_failures = 0
+        self._attempts = attempts.Attempts(
+            attempts_max=context.route.attempts_max
+        )
         self._failed_answer: tuple[wires.LeafAnswer, str] | None = None
         self._hedge_timer: base.Timer | None = None
         self._done = False
@@ -107,12 +99,12 @@
     @property
     def tried_leaf_ids(self) -> list[str]:
         """Ids of the leaves chosen so far, for the log."""
-        return sorted(self._tried_leaf_ids)
+        return sorted(self._attempts.tried_leaf_ids)
 
     @property
     def sends(self) -> int:
         """Number of leaves to which the request was sent."""
-        return self._sends
+        return self._attempts.sends
 
     def start(self) -> None:
         """Start the call."""
@@ -149,7 +141,7 @@
         return self._env.chooser.choose(
             self._pools(),
             now=self._env.clock.monotonic(),
-            exclude=self._tried_leaf_ids,
+            exclude=self._attempts.tried_leaf_ids,
         )
 
     def _send_or_enqueue(self) -> None:
@@ -170,15 +162,15 @@
 
     def _send(self, pool: replicas.LeafPool) -> None:
         leaf_id = pool.entry.id
-        self._tried_leaf_ids.add(leaf_id)
+        self._attempts.tried_leaf_ids.add(leaf_id)
         context = self._context
 
         def encode_request() -> bytes | None:
             time_left_s = context.deadline - self._env.clock.monotonic()
             if time_left_s <= 0.001 or self._done:
                 return None
-            self._sends += 1
-            self._env.record_send(extra=self._sends > 1)
+            self._attempts.sends += 1
+            self._env.record_send(extra=self._attempts.sends > 1)
             return self._env.wire.encode(
                 context.request,
                 context.headers,
@@ -233,15 +225,13 @@
         """Return whether a leaf is usable that the call was not sent to."""
         now = self._env.clock.monotonic()
         return any(
-            pool.entry.id not in self._tried_leaf_ids
+            pool.entry.id not in self._attempts.tried_leaf_ids
             and not pool.stats.is_ejected(now)
             for pool in self._pools()
         )
 
     def _has_attempts_left(self) -> bool:
-        """Return whether the route allows one more attempt."""
-        attempts = self._sends - self._not_run_count + self._unsent_count()
-        return attempts < self._context.route.attempts_max
+        return self._attempts.has_left(unsent_count=self._unsent_count())
 
     def _unsent_count(self) -> int:
         """Return the number of calls that wait for a connection."""
@@ -319,20 +309,19 @@
     def _retry_not_sent(self) -> None:
         if self._done or self._call_by_leaf:
             return
-        self._connect_failures += 1
-        if self._connect_failures >= _CONNECT_ATTEMPTS_MAX:
-            self._finish_failed(self._reason)
+        if self._attempts.may_retry_after_connect_failure():
+            self._send_or_enqueue()
             return
-        self._send_or_enqueue()
+        self._finish_failed(self._reason)
 
     def _retry_not_run(self) -> None:
-        self._not_run_count += 1
+        self._attempts.record_not_run()
         if self._done or self._call_by_leaf:
             return
-        may_retry = (
-            self._not_run_count < _NOT_RUN_MAX and self._has_attempts_left()
-        )
-        if may_retry and self._env.budget_for(self._service).try_acquire():
+        if (
+            self._attempts.may_retry_after_rejection()
+            and self._env.budget_for(self._service).try_acquire()
+        ):
             self._send_or_enqueue()
             return
         self._finish_failed(self._reason)
