--- a/bench/lost_credit.py
+++ b/bench/lost_credit.py
@@ -24,6 +24,7 @@
 
 _SILENCE_MIN_S = 0.25  # Shorter ones occur by chance at low rates.
 _SILENT = "no VM answered"
+_RELAY_ROUTE = "relay"
 _UNAVOIDABLE = frozenset(
     (
         _SILENT,
@@ -151,9 +152,12 @@
             row = orjson.loads(brace + text)
         except orjson.JSONDecodeError:
             continue
-        # Requests without a route are probes of the routes in force.
+        # Requests without a route are probes of the routes in force. A relayed
+        # request has its own line on the VM that gathered.
         if row.get("code") == base.ResultCode.NO_ROUTE:
             continue
+        if row.get("route") == _RELAY_ROUTE:
+            continue
         yield Ended(
             at=row["at"] if time_s is None else time_s,
             route=row.get("route", ""),
--- a/bench/tests/test_lost_credit.py
+++ b/bench/tests/test_lost_credit.py
@@ -56,6 +56,11 @@
     assert account.best < 0.7
 
 
+def test_relayed_requests_count_once():
+    account = account_of([line(0.1, route="relay", late=True)])
+    assert account.requests == 0
+
+
 def test_other_and_damaged_lines_are_left_out():
     lines = ["what happened\n", line(0.1)[:-9], line(0.2, "TPR-2010", 404)]
     assert account_of(lines).requests == 0
