--- a/lab/main.py
+++ b/lab/main.py
@@ -103,10 +103,10 @@
     rows: list[results.RunFigures], policies: list[str], path: pathlib.Path
 ) -> None:
     """Write a plot of the credit by second for each policy."""
-    import matplotlib  # noqa: PLC0415
+    import matplotlib
 
     matplotlib.use("Agg")
-    from matplotlib import pyplot  # noqa: PLC0415
+    from matplotlib import pyplot
 
     figure, axes = pyplot.subplots(figsize=(9, 4))
     for name in policies:
--- a/trefoilpier/tier/__main__.py
+++ b/trefoilpier/tier/__main__.py
@@ -3,14 +3,14 @@
 import gc
 import signal
 
-from trefoilpier.tier import lazy_modules
-
 if __name__ == "__main__":
     # The default action of SIGHUP, which asks for a reload of the settings,
     # would end the process during startup. It can be ignored, since startup
     # reads the settings after the imports. They take most of the startup time,
     # so the daemon is imported after this call.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from trefoilpier.tier import lazy_modules
+
     # Imports create no garbage worth collecting; the daemon enables it again.
     gc.disable()
     for module_name in lazy_modules.UNUSED_BY_DAEMON:
