--- a/trefoilpier/forward/tests/test_without_routes.py
+++ b/trefoilpier/forward/tests/test_without_routes.py
@@ -66,7 +66,7 @@
 
 def test_caller_that_leaves_before_the_routes_is_forgotten():
     tier = make()
-    tier.send_request("q1", wait_s=0.0)
+    tier.send_request("q1")
     tier.clock.advance(0.005)
     tier.net.transports[0].abortConnection()
     tier.clock.advance(0.01)
