The store may come back from an older copy

Cause: the platform's store can be restored from a copy some seconds old. What was written since is lost, leases too, and revisions and lease ids are given out again. A watch that resumed from such a revision missed changes without a 410, and a lease id could have become another VM's.

Change: the client reads Store-Era in every response. A higher one ends the waiting watches, and a response of an earlier era counts as lost. Revisions carry their era, and a watch from another one reads everything again. Leaves missing from the copy keep the grace of an outage, and entries of leaves that have left since are ignored until they would have expired. VMs report the era with their state, so that an earlier one does not win. The stand-in store can copy and restore.

--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -10,9 +10,25 @@
 
 
 class HttpRequest:
-    """One HTTP request that awaits its response."""
+    """One HTTP request that awaits its response.
 
-    __slots__ = ("_responded", "_protocol", "body", "method", "path", "query")
+    Attributes:
+        method: The request method.
+        path: Path of the target.
+        query: Parameters of the target's query.
+        body: The request body.
+        make_headers: Returns further header lines of the response.
+    """
+
+    __slots__ = (
+        "_responded",
+        "_protocol",
+        "body",
+        "make_headers",
+        "method",
+        "path",
+        "query",
+    )
 
     def __init__(
         self,
@@ -31,6 +47,7 @@
             urllib.parse.parse_qsl(parsed.query, keep_blank_values=True)
         )
         self.body = body
+        self.make_headers: Callable[[], bytes] = bytes
 
     def respond(self, content: Any, status: int = 200) -> None:
         """Send a JSON response; only the first call has an effect."""
@@ -38,7 +55,7 @@
             return
         self._responded = True
         data = content if isinstance(content, bytes) else orjson.dumps(content)
-        self._protocol.write(status, data)
+        self._protocol.write(status, data, self.make_headers())
 
     def abort(self) -> None:
         """Abort the connection without a response."""
@@ -127,13 +144,14 @@
         self._body_parts = []
         self._parsed_requests.append(request)
 
-    def write(self, status: int, data: bytes) -> None:
+    def write(self, status: int, data: bytes, headers: bytes = b"") -> None:
         """Write one response, unless the connection is muted or closed."""
         if self.muted or not self.transport.connected:
             return
         self.transport.write(
             b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-            b"Content-Length: %d\r\n\r\n%b" % (status, len(data), data)
+            b"Content-Length: %d\r\n%b\r\n%b"
+            % (status, len(data), headers, data)
         )
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -35,6 +35,7 @@
         if self._model.faults.down:
             request.abort()
             return
+        request.make_headers = lambda: b"Store-Era: %d\r\n" % self._model.era
         if self._model.faults.slow_s:
             self._clock.call_later(
                 self._model.faults.slow_s, self._dispatch, request
--- a/standins/platform_model.py
+++ b/standins/platform_model.py
@@ -50,6 +50,16 @@
     stored: StoredValue | None
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StoreCopy:
+    """Contents of the store at one time, without its history."""
+
+    revision: int
+    value_by_key: dict[str, StoredValue]
+    lease_count: int
+    lease_ttl_by_id: dict[str, float]
+
+
 class _Watch:
     """A pending watch for changes of keys with a prefix."""
 
@@ -80,6 +90,7 @@
 
     Attributes:
         faults: Injected faults.
+        era: Number of restores from a copy, counted from 1.
         revision: Revision of the last change.
         counts: Number of requests since the start.
     """
@@ -96,6 +107,7 @@
         "_value_by_key",
         "_watches",
         "counts",
+        "era",
         "faults",
         "revision",
     )
@@ -104,6 +116,7 @@
         self.faults = PlatformFaults()
         self.counts = CallCounts()
         self._clock = clock
+        self.era = 1
         self.revision = 0
         self._compacted_revision = 0
         self._changes: list[StoredChange] = []
@@ -165,6 +178,37 @@
         self._compacted_revision = self.revision
         self._changes.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore later."""
+        return StoreCopy(
+            revision=self.revision,
+            value_by_key=copy.deepcopy(self._value_by_key),
+            lease_count=self._lease_count,
+            lease_ttl_by_id=dict(self._lease_ttl_by_id),
+        )
+
+    def restore(self, saved: StoreCopy) -> None:
+        """Replace the contents by a copy and begin a new era.
+
+        Leases run anew. Waiting watches get no answer.
+        """
+        now = self._clock.monotonic()
+        self.era += 1
+        self.revision = saved.revision
+        self._compacted_revision = saved.revision
+        self._changes.clear()
+        self._value_by_key = copy.deepcopy(saved.value_by_key)
+        self._previous_by_key.clear()
+        self._lease_count = saved.lease_count
+        self._lease_ttl_by_id = dict(saved.lease_ttl_by_id)
+        self._lease_expiry_by_id = {
+            lease: now + ttl for lease, ttl in saved.lease_ttl_by_id.items()
+        }
+        for watch in self._watches:
+            watch.completed = True
+        self.counts.watches_waiting = 0
+        self._watches.clear()
+
     def items(self, prefix: str) -> dict[str, StoredValue]:
         """Return the values of the keys with a prefix, by key."""
         self.counts.reads += 1
@@ -175,8 +219,11 @@
         }
 
     def changes(self, prefix: str, after: int) -> list[StoredChange] | None:
-        """Return the changes after a revision, or None if compacted."""
-        if after < self._compacted_revision:
+        """Return the changes after a revision, or None if they are unknown.
+
+        That is the case below the compacted revision and above the current one.
+        """
+        if not self._compacted_revision <= after <= self.revision:
             return None
         return [
             change
--- a/trefoilpier/base/events.py
+++ b/trefoilpier/base/events.py
@@ -35,6 +35,7 @@
     WATCHER_ROLE = ("TPE-4006", "INFO", "store watcher role changed")
     ENTRY_MALFORMED = ("TPE-4007", "WARNING", "store entry cannot be read")
     TAKEN_FROM_PEER = ("TPE-4008", "INFO", "entries taken from a peer")
+    STORE_RESTORED = ("TPE-4009", "WARNING", "store restored from a copy")
     NODE_JOINED = ("TPE-5001", "INFO", "node joined")
     NODE_SUSPECTED = ("TPE-5002", "WARNING", "node suspected")
     NODE_DEAD = ("TPE-5003", "WARNING", "node dead")
--- a/trefoilpier/fleet/state_handler.py
+++ b/trefoilpier/fleet/state_handler.py
@@ -25,6 +25,7 @@
         version: Version of the routes in force; 0 for none.
         current: Whether the VM's copy of the store is up to date.
         leaving: Whether the VM is shutting down.
+        era: Era of the store in which the VM's copy was read, if known.
         limits: Limits on callers' requests.
         vm_generation: Change counter of the list of VMs.
         leaf_generation: Change counter of the list of leaves.
@@ -38,6 +39,7 @@
     vm_generation: int
     leaf_generation: int
     vms: list[directory.VmRecord]
+    era: int | None = None
 
     def tag(self, *, include_leaves: bool) -> str:
         """Return a tag that differs between different states of one process.
@@ -47,7 +49,8 @@
         """
         flags = f"{int(self.current)}{int(self.leaving)}"
         leaf_tag = str(self.leaf_generation) if include_leaves else "-"
-        return f"{self.version}.{flags}.{self.vm_generation}.{leaf_tag}"
+        era = "" if self.era is None else f"{self.era}."
+        return f"{era}{self.version}.{flags}.{self.vm_generation}.{leaf_tag}"
 
     def encode(self) -> bytes:
         """Encode the state as JSON."""
@@ -68,12 +71,18 @@
                 vm_generation=int(row["vm_generation"]),
                 leaf_generation=int(row["leaf_generation"]),
                 vms=[each.ok for each in vms if each.is_ok()],
+                era=_decode_era(row.get("era")),
             )
         )
     except (ValueError, KeyError, TypeError) as error:
         return expression.Error(f"{type(error).__name__}: {error}")
 
 
+def _decode_era(value: object) -> int | None:
+    """Return the era of a state; VMs of earlier releases state none."""
+    return value if isinstance(value, int) else None
+
+
 class StateHandler(http1.RequestHandler):
     """Handler of polls for the state and of requests for a snapshot."""
 
--- a/trefoilpier/http1/http_client.py
+++ b/trefoilpier/http1/http_client.py
@@ -41,7 +41,7 @@
         self.encoded = encoded
         self.deferred: defer.Deferred[
             client.ResponseReceived | client.RequestFailed
-        ] = defer.Deferred()
+        ] = defer.Deferred(self._handle_cancel)
         self.connection: client.ClientConnection | None = None
         self.timer: base.Timer | None = None
 
@@ -56,14 +56,16 @@
 
     def time_out(self) -> None:
         """Fail the request and close its connection, if it has one."""
+        self._abandon("no response within the timeout")
+
+    def _handle_cancel(self, deferred: defer.Deferred) -> None:
+        self._abandon("cancelled")
+
+    def _abandon(self, reason: str) -> None:
         if self.connection is not None:
             self.connection.cancel_request()
         sent = self.connection is not None
-        self.complete(
-            client.RequestFailed(
-                reason="no response within the timeout", sent=sent
-            )
-        )
+        self.complete(client.RequestFailed(reason=reason, sent=sent))
 
 
 class HttpClient(client.ConnectionEvents):
@@ -109,6 +111,8 @@
     ) -> "defer.Deferred[client.ResponseReceived | client.RequestFailed]":
         """Send a request and return its outcome; the Deferred never fails.
 
+        Cancelling the Deferred fails the request and closes its connection.
+
         Args:
             method: The request method.
             target: The request target.
--- a/trefoilpier/metadata/keyed.py
+++ b/trefoilpier/metadata/keyed.py
@@ -20,10 +20,11 @@
 class KeyValueStoreAdapter(store.Store):
     """Adapter from the shared store to single-key access."""
 
-    __slots__ = ("_shared_store",)
+    __slots__ = ("_era_by_watched_key", "_shared_store")
 
     def __init__(self, *, shared_store: store_api.KeyValueStore) -> None:
         self._shared_store = shared_store
+        self._era_by_watched_key: dict[str, int | None] = {}
 
     def get(self, key: str) -> "defer.Deferred[store.EntryResult]":
         """Read a key; an absent one has revision 0."""
@@ -33,7 +34,10 @@
         read_result = await self._shared_store.read(key)
         return read_result.map(
             lambda item: store.Entry(
-                key=key, value=item.value or b"", revision=item.revision
+                key=key,
+                value=item.value or b"",
+                revision=item.revision,
+                era=self._shared_store.era,
             )
         )
 
@@ -67,11 +71,17 @@
     async def _watch(
         self, key: str, after: int, wait: float
     ) -> store.EntryResult:
+        era = self._shared_store.era
+        if after and self._era_by_watched_key.get(key, era) != era:
+            # The revision is of an earlier era.
+            self._era_by_watched_key[key] = era
+            return await self._get(key)
         watch_result = await self._shared_store.watch(
             key, after=after, wait_s=wait
         )
         if watch_result.is_error():
             return expression.Error(watch_result.error)
+        self._era_by_watched_key[key] = self._shared_store.era
         key_changes = [
             change for change in watch_result.ok.changes if change.key == key
         ]
@@ -83,6 +93,7 @@
                 key=key,
                 value=newest_item.value or b"",
                 revision=newest_item.revision,
+                era=self._shared_store.era,
             )
         )
 
--- a/trefoilpier/metadata/store.py
+++ b/trefoilpier/metadata/store.py
@@ -19,11 +19,19 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Entry:
-    """Value and revision of a key; revision 0 means that the key is absent."""
+    """Value and revision of a key; revision 0 means that the key is absent.
+
+    Attributes:
+        key: The key.
+        value: Its value.
+        revision: Revision of its last change; 0 if the key is absent.
+        era: Era of the store; revisions of different eras cannot be compared.
+    """
 
     key: str
     value: bytes
     revision: int
+    era: int | None = None
 
 
 class VmState(enum.StrEnum):
--- a/trefoilpier/node/config_controller.py
+++ b/trefoilpier/node/config_controller.py
@@ -40,6 +40,7 @@
         "_send_request",
         "_board",
         "_clock",
+        "_era",
         "_version_by_peer",
         "_log",
         "_ranked_as_watcher",
@@ -84,6 +85,7 @@
         self._on_config_applied = on_config_applied
         self._on_members = on_members
         self._revision = 0
+        self._era: int | None = None
         self._retry_delay = _RETRY_MIN_S
         self._store_available = True
         self._watching = False
@@ -207,8 +209,10 @@
                 continue
             self._handle_store_success()
             entry = result.ok
-            if entry.revision < self._revision:
-                # Either the store lost writes or the read was stale.
+            restored = entry.era != self._era
+            self._era = entry.era
+            if entry.revision < self._revision or (restored and self._revision):
+                # The store lost writes, or the read was stale.
                 self._revision = 0
                 await self._sleep(_RETRY_MIN_S)
             if entry.revision > self._revision and entry.value:
--- a/trefoilpier/platform/kv.py
+++ b/trefoilpier/platform/kv.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import urllib.parse
+from collections.abc import Callable
 from typing import Any
 
 import expression
@@ -17,6 +18,8 @@
 _STATUS_NOT_FOUND = 404
 _STATUS_GONE = 410
 _STATUS_PRECONDITION_FAILED = 412
+# Counts the restores of the store from older copies; in every response.
+_ERA_HEADER = b"store-era"
 
 StoreResult = expression.Result[tuple[int, dict[str, Any]], base.Failure]
 
@@ -28,7 +31,7 @@
 class PlatformStore(store.KeyValueStore):
     """A key-value store that is accessed over the platform's HTTP API."""
 
-    __slots__ = ("_client",)
+    __slots__ = ("_client", "_era", "_pending_watches", "_restore_callbacks")
 
     def __init__(
         self, *, reactor: Any, clock: base.Clock, host: str, port: int
@@ -36,6 +39,33 @@
         self._client = http1.HttpClient(
             reactor=reactor, clock=clock, host=host, port=port
         )
+        self._era: int | None = None
+        self._pending_watches: set[defer.Deferred[Any]] = set()
+        self._restore_callbacks: list[Callable[[int, int], None]] = []
+
+    @property
+    def era(self) -> int | None:
+        """Latest era in a response; None before the first one."""
+        return self._era
+
+    def on_restore(self, callback: Callable[[int, int], None]) -> None:
+        """Call back with the former and the new era after each restore."""
+        self._restore_callbacks.append(callback)
+
+    def _update_era(self, era: int) -> None:
+        """Record the era of a response; a higher one shows a restore.
+
+        Waiting watches are ended: they wait for revisions that the store may
+        give out a second time.
+        """
+        previous, self._era = self._era, era
+        if previous is None or previous == era:
+            return
+        for callback in self._restore_callbacks:
+            callback(previous, era)
+        watches, self._pending_watches = self._pending_watches, set()
+        for watch in watches:
+            watch.cancel()
 
     @property
     def request_count(self) -> int:
@@ -48,6 +78,8 @@
         path: str,
         body: Any = None,
         timeout_s: float = _RESPONSE_TIMEOUT_S,
+        *,
+        ended_by_restore: bool = False,
     ) -> StoreResult:
         """Send a request; return the status and JSON object of the response.
 
@@ -56,25 +88,41 @@
             path: The path with its query.
             body: The request body, to be encoded as JSON; None for no body.
             timeout_s: Seconds to wait for the response.
+            ended_by_restore: Whether a restore of the store fails the request.
         """
         headers = []
         encoded_body = b""
         if body is not None:
             headers.append((b"content-type", b"application/json"))
             encoded_body = orjson.dumps(body)
-        outcome = await self._client.send_request(
+        pending = self._client.send_request(
             method.encode(),
             path.encode(),
             headers=headers,
             body=encoded_body,
             timeout_s=timeout_s,
         )
+        if ended_by_restore:
+            self._pending_watches.add(pending)
+        outcome = await pending
+        self._pending_watches.discard(pending)
         if isinstance(outcome, http1.RequestFailed):
             code = base.ResultCode.STORE_UNAVAILABLE
             if outcome.sent and method == "POST":
                 code = base.ResultCode.STORE_ANSWER_LOST
             return _make_error(code, outcome.reason)
         response = outcome.response
+        era = _parse_era(response)
+        if era is not None and self._era is not None and era < self._era:
+            # What it reports, a write included, may have been lost since.
+            return _make_error(
+                base.ResultCode.STORE_ANSWER_LOST
+                if method == "POST"
+                else base.ResultCode.STORE_UNAVAILABLE,
+                f"response of era {era}, before a restore of the store",
+            )
+        if era is not None:
+            self._update_era(era)
         try:
             json_object = orjson.loads(response.body) if response.body else {}
         except orjson.JSONDecodeError:
@@ -98,6 +146,7 @@
         items: list[store.Item] = []
         revision = 0
         after = ""
+        era: int | None = None
         while True:
             query = {"prefix": prefix}
             if allow_stale:
@@ -111,6 +160,12 @@
             if result.is_error():
                 return expression.Error(result.error)
             json_object = result.ok[1]
+            if after and self._era != era:
+                return _make_error(
+                    base.ResultCode.STORE_UNAVAILABLE,
+                    "the store was restored between two pages",
+                )
+            era = self._era
             # The pages are not one consistent snapshot. A watch from the
             # revision of the first page reports the changes between pages.
             revision = revision or int(json_object.get("at", 0))
@@ -120,7 +175,7 @@
             items += page
             if not json_object.get("has-more") or not page:
                 return expression.Ok(
-                    store.Snapshot(items=items, revision=revision)
+                    store.Snapshot(items=items, revision=revision, era=era)
                 )
             after = page[-1].key
 
@@ -143,14 +198,25 @@
         return expression.Ok(_parse_item(json_object))
 
     def watch(
-        self, prefix: str, *, after: int, wait_s: float
+        self,
+        prefix: str,
+        *,
+        after: int,
+        wait_s: float,
+        era: int | None = None,
     ) -> "defer.Deferred[Any]":
         """Wait for changes after a revision."""
-        return defer.ensureDeferred(self._watch(prefix, after, wait_s))
+        return defer.ensureDeferred(
+            self._watch(
+                prefix, after, wait_s, self._era if era is None else era
+            )
+        )
 
     async def _watch(
-        self, prefix: str, after: int, wait_s: float
+        self, prefix: str, after: int, wait_s: float, era: int | None
     ) -> expression.Result[store.Changes, base.Failure]:
+        if era != self._era:
+            return expression.Ok(_HISTORY_GONE)
         query = {
             "prefix": prefix,
             "after": after,
@@ -161,17 +227,20 @@
                 "GET",
                 "/kv-watch?" + urllib.parse.urlencode(query),
                 timeout_s=wait_s + _WATCH_EXTRA_TIMEOUT_S,
+                ended_by_restore=True,
             ),
             _STATUS_OK,
             _STATUS_GONE,
         )
+        # A restored store answers from any revision that it has, although it
+        # has given that out for another change.
+        if era is not None and self._era != era:
+            return expression.Ok(_HISTORY_GONE)
         if result.is_error():
             return expression.Error(result.error)
         status, json_object = result.ok
         if status == _STATUS_GONE:
-            return expression.Ok(
-                store.Changes(changes=[], revision=0, history_gone=True)
-            )
+            return expression.Ok(_HISTORY_GONE)
         changes = [
             _parse_change(event) for event in json_object.get("events", [])
         ]
@@ -250,6 +319,14 @@
         return expression.Ok(int(reply.get("revision", 0)))
 
 
+_HISTORY_GONE = store.Changes(changes=[], revision=0, history_gone=True)
+
+
+def _parse_era(response: http1.HttpResponse) -> int | None:
+    value = http1.find_header(response.headers, _ERA_HEADER) or b""
+    return int(value) if value.isdigit() else None
+
+
 def _require_status(result: StoreResult, *statuses: int) -> StoreResult:
     """Return the response, or an error if its status is not expected."""
     if result.is_ok() and result.ok[0] not in statuses:
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -3,15 +3,18 @@
 An entry removed while the store is available means that the leaf has left. An
 entry removed during an outage may only have expired. Its leaf is kept for a
 grace period after the store recovers, in which a live leaf registers again.
+
+A store restored from an older copy lists leaves that have left since. Their
+entries are ignored until they would have expired.
 """
 
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from trefoilpier import base
+from trefoilpier.replicas import departures, pool
 from trefoilpier.replicas import entry as entries
 from trefoilpier.replicas import policy as policies
-from trefoilpier.replicas import pool
 
 # Live leaves register again within about 2 s after the store recovers.
 _REREGISTRATION_GRACE_S = 2.2
@@ -35,6 +38,7 @@
     __slots__ = (
         "_clock",
         "_connections_max_by_service",
+        "_departures",
         "_grace_until",
         "_grace_until_by_id",
         "_id_header",
@@ -71,6 +75,7 @@
         self._vm_count = _ASSUMED_VM_COUNT
         self._grace_until = 0.0
         self._grace_until_by_id: dict[str, float] = {}
+        self._departures = departures.Departures(clock=clock)
         self.generation = 0
         self.pool_by_id: dict[str, pool.LeafPool] = {}
         self.pools_by_service: dict[str, list[pool.LeafPool]] = {}
@@ -107,6 +112,20 @@
             self._grace_until_by_id[leaf_id] = self._grace_until
         self._clock.call_later(_REREGISTRATION_GRACE_S, self._remove_expired)
 
+    def handle_store_restore(self) -> None:
+        """Handle a restore of the store, before its items are applied.
+
+        Leaves missing from the older copy have time to register again, and
+        entries of leaves that have left are ignored for a while.
+        """
+        self.handle_store_recovery()
+        self._departures.distrust_entries()
+
+    @property
+    def entries_distrusted_until(self) -> float:
+        """Monotonic time until which `put` ignores outdated entries."""
+        return self._departures.distrust_until
+
     def _start_grace(self, leaf_id: str, until: float) -> None:
         """Keep a leaf whose entry is missing for a grace period."""
         self._grace_until_by_id.setdefault(leaf_id, until)
@@ -150,12 +169,15 @@
     def put(self, entry: entries.LeafEntry) -> None:
         """Add or update a leaf."""
         self._grace_until_by_id.pop(entry.id, None)
+        if self._departures.contradict(entry):
+            return
         current = self.pool_by_id.get(entry.id)
         if current is not None and not current.entry.is_same_process(entry):
             self._remove(entry.id, "leaf restarted")
             current = None
         if current is None:
             if entry.phase is entries.LeafPhase.LEAVING:
+                self._departures.record(entry)
                 return
             self._add(entry)
             return
@@ -166,6 +188,7 @@
             self._log.emit(
                 base.Event.LEAF_DRAINING, leaf=entry.id, service=entry.service
             )
+            self._departures.record(entry)
             self._remove_from_service(current)
             current.stop_accepting()
         elif entry.phase is entries.LeafPhase.READY and current.leaving:
@@ -224,6 +247,7 @@
         if removed is None:
             return
         self.generation += 1
+        self._departures.record(removed.entry)
         self._remove_from_service(removed)
         removed.stop_accepting()
         self._log.emit(
--- a/trefoilpier/store/api.py
+++ b/trefoilpier/store/api.py
@@ -3,9 +3,14 @@
 All methods return a Deferred of an ``expression.Result``; the Deferred itself
 never fails. A write whose response was lost returns ``STORE_ANSWER_LOST``: it
 may or may not have taken effect.
+
+The store may be restored from a copy some seconds old. It then has lost the
+latest writes, and gives out their revisions a second time. Its era counts the
+restores, and revisions of different eras cannot be compared.
 """
 
 import abc
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import expression
@@ -36,10 +41,12 @@
     Attributes:
         items: The items.
         revision: Revision from which a watch misses no later change.
+        era: Era of the store in which the items were read.
     """
 
     items: list[Item]
     revision: int
+    era: int | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -59,7 +66,8 @@
         changes: Changes in order of revision; may be empty.
         revision: Revision from which to continue watching.
         history_gone: Whether the store no longer has all changes after the
-            requested revision, so that some may be missing.
+            requested revision, or has been restored since, so that some may be
+            missing.
     """
 
     changes: list[Change]
@@ -72,6 +80,22 @@
 
     __slots__ = ()
 
+    @property
+    def era(self) -> int | None:
+        """Latest known era; None if it is unknown or there are none."""
+        return None
+
+    def on_restore(  # noqa: B027
+        self, callback: Callable[[int, int], None]
+    ) -> None:
+        """Call back whenever a restore of the store is noticed.
+
+        A store without eras never does.
+
+        Args:
+            callback: Called with the former and the new era.
+        """
+
     @abc.abstractmethod
     def read_all(
         self, prefix: str, *, allow_stale: bool = False
@@ -92,13 +116,19 @@
 
     @abc.abstractmethod
     def watch(
-        self, prefix: str, *, after: int, wait_s: float
+        self,
+        prefix: str,
+        *,
+        after: int,
+        wait_s: float,
+        era: int | None = None,
     ) -> "defer.Deferred[expression.Result[Changes, base.Failure]]":
         """Wait for changes of keys with a prefix.
 
         Args:
             prefix: Prefix of the keys.
             after: Revision after which changes are returned.
+            era: Era of that revision; None if it is unknown.
             wait_s: Time to wait for a change, in seconds.
         """
 
--- a/trefoilpier/tier/peer_sync.py
+++ b/trefoilpier/tier/peer_sync.py
@@ -70,7 +70,9 @@
             )
             return
         needed = has_newer_routes or (
-            state.current and not self._store_sync.current
+            state.current
+            and not self._store_sync.current
+            and not self._store_sync.is_later_era_than(state.era)
         )
         if not needed or self._fetching:
             return
@@ -80,9 +82,11 @@
             and self._applied_tag_by_peer.get(record.id) == tag
         ):
             return
-        defer.ensureDeferred(self._fetch_snapshot(record, tag))
+        defer.ensureDeferred(self._fetch_snapshot(record, tag, state.era))
 
-    async def _fetch_snapshot(self, record: fleet.VmRecord, tag: str) -> None:
+    async def _fetch_snapshot(
+        self, record: fleet.VmRecord, tag: str, era: int | None
+    ) -> None:
         self._fetching = True
         client = http1.HttpClient(
             reactor=self._reactor,
@@ -103,11 +107,14 @@
             )
             return
         self._applied_tag_by_peer = {record.id: tag}
-        self._store_sync.apply_peer_items(decode_items(outcome.response.body))
+        self._store_sync.apply_peer_items(
+            decode_items(outcome.response.body), era=era
+        )
         self._log.emit(
             base.Event.TAKEN_FROM_PEER,
             peer=record.id,
             version=self._store_sync.version,
+            era=self._store_sync.era,
             store_current=self._store_sync.current,
         )
 
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -22,6 +22,8 @@
 _RETRY_PAUSE_MAX_S = 1.0
 # Before the first routes, when no request can be served.
 _RETRY_PAUSE_UNLOADED_MAX_S = 0.25
+# After the registry trusts the entries of a restored store again.
+_REAPPLY_MARGIN_S = 0.05
 _MALFORMED_KEYS_MAX = 200  # Limit on remembered malformed leaf entries.
 
 
@@ -29,6 +31,7 @@
     """Local copy of the store's items, kept up to date by watches.
 
     Attributes:
+        era: Era of the store in which the items were read; None if unknown.
         last_call_failed: Whether the last call to the store failed.
         loaded: Whether all items have been read, from the store or a peer.
         loaded_at: Monotonic time in seconds of the first complete read.
@@ -48,10 +51,12 @@
         "_on_routes",
         "_pause_s",
         "_registry",
+        "_revision_era",
         "_rng",
         "_started",
         "_store",
         "_table",
+        "era",
         "last_call_failed",
         "loaded",
         "loaded_at",
@@ -82,6 +87,8 @@
         self._malformed_revision_by_key: dict[str, int] = {}
         self._started = False
         self._items_by_key: dict[str, store.Item] = {}
+        self.era: int | None = None
+        self._revision_era: int | None = None
         self.last_call_failed = False
         self._outage_reported = False
         self._failed_since_load = False
@@ -127,12 +134,47 @@
         self._failed_since_load = False
         self._on_call_succeeded()
         snapshot = read.ok
+        if self.is_later_era_than(snapshot.era):
+            # The read was delayed since before a restore that a peer reported.
+            await self._sleep(_RETRY_PAUSE_MIN_S)
+            return 0
+        self._revision_era = snapshot.era
+        self._update_era(snapshot.era)
         self._items_by_key = {item.key: item for item in snapshot.items}
         self._apply_items(from_peer=False)
         self.loaded_from_store = True
         self._mark_loaded()
         return snapshot.revision
 
+    def _update_era(self, era: int | None) -> None:
+        """Note the era of new items; a higher one follows a restore."""
+        previous, self.era = self.era, era
+        if previous is None or era == previous:
+            return
+        self._log.emit(
+            base.Event.STORE_RESTORED,
+            era_before=previous,
+            era=era,
+            version=self.version,
+        )
+        self._registry.handle_store_restore()
+        delay_s = (
+            self._registry.entries_distrusted_until - self._clock.monotonic()
+        )
+        self._clock.call_later(
+            delay_s + _REAPPLY_MARGIN_S, self._reapply_leaves, era
+        )
+
+    def _reapply_leaves(self, era: int | None) -> None:
+        """Apply the entries that were ignored after a restore."""
+        if era != self.era:
+            return
+        for item in self._items_by_key.values():
+            if item.key.startswith(platform.LEAF_PREFIX):
+                for entry in self._decode_leaf(item):
+                    self._registry.put(entry)
+        self._on_members()
+
     def _apply_items(self, *, from_peer: bool) -> None:
         """Apply all items, as a replacement of the previous ones."""
         leaves = []
@@ -149,21 +191,33 @@
         self._registry.replace_all(leaves, from_peer=from_peer)
         self._on_members()
 
-    def apply_peer_items(self, items: list[store.Item]) -> None:
+    def apply_peer_items(
+        self, items: list[store.Item], *, era: int | None = None
+    ) -> None:
         """Apply the items of a peer.
 
         Newer routes are always applied; all other items only while this VM
-        cannot follow the store.
+        cannot follow the store, and not if they are of an earlier era.
+
+        Args:
+            items: The items.
+            era: Era in which the peer read them; None if unknown.
         """
-        if self.current:
+        if self.current or self.is_later_era_than(era):
             for item in items:
                 if item.key == platform.ROUTES_KEY:
                     self._apply_routes(item)
             return
+        if era is not None:
+            self._update_era(era)
         self._items_by_key = {item.key: item for item in items}
         self._apply_items(from_peer=True)
         self._mark_loaded()
 
+    def is_later_era_than(self, era: int | None) -> bool:
+        """Return whether the items are of a later era than the given one."""
+        return self.era is not None and era is not None and era < self.era
+
     @property
     def current(self) -> bool:
         """Whether all items were read and the last store call succeeded."""
@@ -197,7 +251,9 @@
             if now < self._short_watches_until
             else _WATCH_TIMEOUT_S
         )
-        seen = await self._store.watch("", after=revision, wait_s=wait_s)
+        seen = await self._store.watch(
+            "", after=revision, wait_s=wait_s, era=self._revision_era
+        )
         if seen.is_error():
             self.last_call_failed = True
             self._failed_since_load = True
--- a/trefoilpier/tier/tests/test_store_sync.py
+++ b/trefoilpier/tier/tests/test_store_sync.py
@@ -43,7 +43,7 @@
             )
         )
 
-    def watch(self, prefix, *, after, wait_s):
+    def watch(self, prefix, *, after, wait_s, era=None):
         response = defer.Deferred()
         self.watches.append((after, wait_s, response))
         return response
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -319,6 +319,7 @@
             vm_generation=self._selection.generation,
             leaf_generation=self._leaf_registry.generation,
             vms=vms,
+            era=self._store_sync.era,
         )
 
     def _handle_gatherer_state(
