The soak restores the store from an older copy; connections open with the load

Cause: a restored store was played by tests of one VM only, and a VM that had read the store opened its connections to leaves up to half a second later, at the next of its periodic rounds.

Change: the soak brings the store back from a copy 0.5 to 4 s old, with the operator and the leaves writing again and entries of gone leaves expiring. A gatherer opens connections when its leaves change.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,7 @@
 # when the VM is stopped.
 _SLOWDOWN_FACTOR = 10.0
 _SLOWDOWN_S = 0.7
+_RESTORE_OUTAGE_S = 0.6
 _GAP_RANGE_S = (0.3, 2.0)
 _DURATION_RANGE_S = (0.5, 4.0)
 
@@ -98,6 +99,7 @@
             self._store_down,
             self._store_slow,
             self._store_drops_history,
+            self._store_restored,
             self._store_loses_answers,
             self._signal_vm,
             self._signal_vm,
@@ -148,6 +150,22 @@
         self._environment.model.compact_history()
         return "store drops its watch history"
 
+    def _store_restored(self, seconds: float) -> str:
+        """Bring the store back later, from a copy made now."""
+        saved = self._environment.model.copy()
+        faults = self._environment.model.faults
+
+        def begin_outage() -> None:
+            faults.down = True
+            self._end_after(_RESTORE_OUTAGE_S, end_outage)
+
+        def end_outage() -> None:
+            faults.down = False
+            self._environment.restore_store(saved)
+
+        self._end_after(seconds, begin_outage)
+        return f"store restored from a copy {seconds:.1f} s old"
+
     def _store_loses_answers(self, seconds: float) -> str:
         self._environment.model.faults.lose_answers += 3
         return "store loses answers"
--- a/standins/tier_world.py
+++ b/standins/tier_world.py
@@ -22,6 +22,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 _HEARTBEAT_INTERVAL_S = 1.0
+_EXPIRY_S = 3 * _HEARTBEAT_INTERVAL_S  # Of the entry of a silent leaf.
 _RESTART_DELAY_S = 0.3  # The platform also restarts after a short delay.
 _LEAVES_PER_SHARD = 3
 _LEAF_SERVICE_TIME_S = 0.01
@@ -260,15 +261,40 @@
                 self.add_leaf(shard)
         self.shard_sets.append(shards)
         self.shard_set_written_at.append(self._clock.monotonic())
+        self._write_routes()
+
+    def _write_routes(self) -> None:
         self.model.put(
             published_protocol.ROUTES_KEY,
             published_protocol.routes_value(
-                version=self.version, shards=list(shards), single="single"
+                version=self.version,
+                shards=list(self.shard_sets[-1]),
+                single="single",
             ),
             None,
             "",
         )
 
+    def restore_store(self, saved: platform_model.StoreCopy) -> None:
+        """Restore the store; operator and leaves then write again.
+
+        Entries of leaves that have gone expire.
+        """
+        self.model.restore(saved)
+        reactor.callLater(_HEARTBEAT_INTERVAL_S, self._write_routes)
+        reactor.callLater(_HEARTBEAT_INTERVAL_S, self._write_live_entries)
+        reactor.callLater(_EXPIRY_S, self._delete_removed_entries)
+
+    def _write_live_entries(self) -> None:
+        for leaf_instance in self.leaf_by_id.values():
+            if not leaf_instance.removed:
+                self._write_entry(leaf_instance)
+
+    def _delete_removed_entries(self) -> None:
+        for leaf_id, leaf_instance in self.leaf_by_id.items():
+            if leaf_instance.removed:
+                self.model.delete(published_protocol.LEAF_PREFIX + leaf_id)
+
     def add_leaf(self, service: str) -> None:
         """Start a leaf with its own link and write its entry."""
         self._leaf_count += 1
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -300,7 +300,9 @@
             self._clock.call_later(
                 _VM_COUNT_DECREASE_DELAY_S, self._set_vm_count
             )
-        if not self.is_gatherer():
+        if self.is_gatherer():
+            self._open_connections()
+        else:
             self.request_dispatcher.start()
 
     def _set_vm_count(self) -> None:
@@ -331,12 +333,17 @@
             self._on_limits(state.limits)
 
     def _warm_connections(self) -> None:
+        """Keep a connection to each leaf open, checked periodically."""
         if self._store_sync.loaded and self.is_gatherer():
-            self._leaf_registry.warm_up_leaves(
-                list(self._leaf_registry.pools_by_service)
-            )
+            self._open_connections()
         self._clock.call_later(_WARM_PAUSE_S, self._warm_connections)
 
+    def _open_connections(self) -> None:
+        """Open a connection to each leaf that has none."""
+        self._leaf_registry.warm_up_leaves(
+            list(self._leaf_registry.pools_by_service)
+        )
+
     def ready(self) -> bool:
         """Return whether the balancer should send callers to this VM."""
         if self.stopping:
