--- a/trefoilpier/fleet/__init__.py
+++ b/trefoilpier/fleet/__init__.py
@@ -19,14 +19,17 @@
 from trefoilpier.fleet.role import can_gather, gatherers_max
 from trefoilpier.fleet.selection import GathererSelection
 from trefoilpier.fleet.state_handler import (
+    SNAPSHOT_ENCODING,
     SNAPSHOT_PATH,
     GathererState,
     StateHandler,
+    read_snapshot,
 )
 
 __all__ = [
     "GATHERER_SERVICE",
     "VM_KEY_PREFIX",
+    "SNAPSHOT_ENCODING",
     "SNAPSHOT_PATH",
     "GathererSelection",
     "GathererState",
@@ -40,5 +43,6 @@
     "can_gather",
     "decode_vm_record",
     "gatherers_max",
+    "read_snapshot",
     "relay_table",
 ]
--- a/trefoilpier/fleet/gatherers.py
+++ b/trefoilpier/fleet/gatherers.py
@@ -30,10 +30,12 @@
     __slots__ = (
         "_client",
         "_known_tag",
+        "_tracked",
         "_watch",
         "active",
         "record",
         "up",
+        "vms",
     )
 
     def __init__(
@@ -43,14 +45,18 @@
         self._client = watch.make_client(record)
         self._known_tag = ""
         self.record = record
+        self._tracked = False
         self.active = True
         self.up = False
+        # The gatherers that this one has reported.
+        self.vms: list[directory.VmRecord] = []
 
     async def run(self) -> None:
         while self.active:
-            target = b"%b?known=%b" % (
+            target = b"%b?known=%b&%b=1" % (
                 state_handler.STATE_PATH,
-                self._known_tag.encode(),
+                self._known_tag_for_poll().encode(),
+                state_handler.OMIT_KNOWN_PARAMETER.encode(),
             )
             outcome = await self._client.send_request(
                 b"GET", target, timeout_s=_POLL_TIMEOUT_S
@@ -66,11 +72,19 @@
                 self._known_tag = ""
                 await self._watch.sleep(_RETRY_PAUSE_S)
                 continue
-            self._known_tag = state.tag(
-                include_leaves=self._watch.tracks_leaves
-            )
+            self._known_tag = state.tag(include_leaves=True)
             self._watch.handle_state(self, state)
 
+    def _known_tag_for_poll(self) -> str:
+        """Return the known tag, without the leaves if they do not matter.
+
+        Once they begin to matter, the state is asked for at once.
+        """
+        tracked, self._tracked = self._tracked, self._watch.tracks_leaves()
+        if not self._tracked:
+            return state_handler.tag_without_leaves(self._known_tag)
+        return self._known_tag if tracked else ""
+
 
 def _is_unchanged(
     outcome: http1.ResponseReceived | http1.RequestFailed,
@@ -98,6 +112,8 @@
     learn of changes that it has not received from the store.
 
     Attributes:
+        tracks_leaves: Returns whether a change of a gatherer's leaves ends a
+            long poll.
         version: Highest version of the routes that any polled gatherer has
             had in force.
         directory: The registered gatherers, without this VM.
@@ -116,6 +132,7 @@
         "_store",
         "_zone",
         "directory",
+        "tracks_leaves",
         "version",
     )
 
@@ -130,6 +147,7 @@
         registry: replicas.LeafRegistry,
         own_id: str,
         zone: str,
+        tracks_leaves: Callable[[], bool],
         on_state: Callable[
             [directory.VmRecord, state_handler.GathererState], None
         ],
@@ -147,6 +165,8 @@
             own_id: Name of this VM.
             zone: Availability zone whose gatherers are preferred; empty for
                 no preference.
+            tracks_leaves: Returns whether a change of a gatherer's leaves
+                matters now.
             on_state: Called with each state received from a gatherer.
         """
         self._clock = clock
@@ -157,6 +177,7 @@
         self._registry = registry
         self._own_id = own_id
         self._zone = zone
+        self.tracks_leaves = tracks_leaves
         self._on_state = on_state
         self._poller_by_id: dict[str, _StatePoller] = {}
         self._down_until_by_id: dict[str, float] = {}
@@ -174,11 +195,6 @@
             poller.up for poller in self._poller_by_id.values()
         )
 
-    @property
-    def tracks_leaves(self) -> bool:
-        """Whether a change of a gatherer's leaves ends a long poll."""
-        return not self._zone
-
     async def _discover(self) -> None:
         """Read the list of gatherers from the store while none is usable."""
         retry_pause_s = _DISCOVERY_PAUSE_S
@@ -269,7 +285,23 @@
             self.version = state.version
         self._on_state(poller.record, state)
         if state.vms:
-            self._apply_records(state.vms)
+            poller.vms = state.vms
+            self._apply_reported_records()
+
+    def _apply_reported_records(self) -> None:
+        """Apply the gatherers that any polled one has reported.
+
+        Their lists differ for a while after a change, and following each in
+        turn would move the polls back and forth.
+        """
+        record_by_id: dict[str, directory.VmRecord] = {}
+        for poller in self._poller_by_id.values():
+            if poller.up:
+                for record in poller.vms:
+                    known = record_by_id.setdefault(record.id, record)
+                    if record.started_ms > known.started_ms:
+                        record_by_id[record.id] = record
+        self._apply_records(list(record_by_id.values()))
 
     def handle_down(self, poller: _StatePoller, *, leaving: bool) -> None:
         """Process a poll failure or the shutdown of a gatherer.
--- a/trefoilpier/fleet/state_handler.py
+++ b/trefoilpier/fleet/state_handler.py
@@ -1,8 +1,9 @@
 """Long-polling endpoint for the state of a gatherer."""
 
 import urllib.parse
+import zlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import expression
 import orjson
@@ -14,7 +15,11 @@
 # that the VM is frozen, unreachable or dead.
 LONG_POLL_S = 1.0
 STATE_PATH = b"/state"
+# Parameter of polls that can read an answer without the known gatherers.
+OMIT_KNOWN_PARAMETER = "omit"
 SNAPSHOT_PATH = b"/snapshot"
+SNAPSHOT_ENCODING = b"deflate"
+_COMPRESSION_LEVEL = 1  # The fastest.
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -29,7 +34,7 @@
         limits: Limits on callers' requests.
         vm_generation: Change counter of the list of VMs.
         leaf_generation: Change counter of the list of leaves.
-        vms: Records of the gatherers.
+        vms: Records of the gatherers; None if the poll knows them.
     """
 
     version: int
@@ -38,7 +43,7 @@
     limits: http1.CallerLimits
     vm_generation: int
     leaf_generation: int
-    vms: list[directory.VmRecord]
+    vms: list[directory.VmRecord] | None
     era: int | None = None
 
     def tag(self, *, include_leaves: bool) -> str:
@@ -52,16 +57,33 @@
         era = "" if self.era is None else f"{self.era}."
         return f"{era}{self.version}.{flags}.{self.vm_generation}.{leaf_tag}"
 
+    def knows_vms(self, known_tag: str) -> bool:
+        """Return whether a poll with this tag knows the gatherers."""
+        return known_tag.split(".")[-2:-1] == [str(self.vm_generation)]
+
     def encode(self) -> bytes:
         """Encode the state as JSON."""
         return orjson.dumps(self)
 
 
+def tag_without_leaves(tag: str) -> str:
+    """Return a tag that a change of the leaves does not change.
+
+    >>> tag_without_leaves("7.10.3.52"), tag_without_leaves("")
+    ('7.10.3.-', '')
+    """
+    head, separator, _ = tag.rpartition(".")
+    return f"{head}.-" if separator else ""
+
+
 def decode_state(data: bytes) -> expression.Result[GathererState, str]:
     """Decode a state; the error describes what is invalid."""
     try:
         row = orjson.loads(data)
-        vms = [directory.decode_vm_record(each) for each in row["vms"]]
+        vms = None
+        if row["vms"] is not None:
+            decoded = [directory.decode_vm_record(each) for each in row["vms"]]
+            vms = [each.ok for each in decoded if each.is_ok()]
         return expression.Ok(
             GathererState(
                 version=int(row["version"]),
@@ -70,7 +92,7 @@
                 limits=http1.CallerLimits(**row["limits"]),
                 vm_generation=int(row["vm_generation"]),
                 leaf_generation=int(row["leaf_generation"]),
-                vms=[each.ok for each in vms if each.is_ok()],
+                vms=vms,
                 era=_decode_era(row.get("era")),
             )
         )
@@ -83,6 +105,30 @@
     return value if isinstance(value, int) else None
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Poll:
+    """A poll of the state.
+
+    Attributes:
+        known_tag: Tag of the state that the poll knows; empty for none.
+        omits_known: Whether the answer may omit gatherers that the poll knows.
+    """
+
+    known_tag: str
+    omits_known: bool
+
+    def differs_from(self, state: GathererState) -> bool:
+        """Return whether the poll knows another state."""
+        include_leaves = not self.known_tag.endswith("-")
+        return self.known_tag != state.tag(include_leaves=include_leaves)
+
+    def encode_answer(self, state: GathererState) -> bytes:
+        """Encode the state for this poll."""
+        if self.omits_known and state.knows_vms(self.known_tag):
+            state = replace(state, vms=None)
+        return state.encode()
+
+
 class StateHandler(http1.RequestHandler):
     """Handler of polls for the state and of requests for a snapshot."""
 
@@ -106,27 +152,30 @@
         self._clock = clock
         self._make_state = make_state
         self._make_snapshot = make_snapshot
-        self._waiting: dict[http1.Exchange, tuple[str, base.Timer]] = {}
+        self._waiting: dict[http1.Exchange, tuple[_Poll, base.Timer]] = {}
 
     def handle(self, exchange: http1.Exchange) -> None:
         """Answer a poll at once if the state differs, otherwise later."""
         path, _, query = exchange.request.target.partition(b"?")
         if path == SNAPSHOT_PATH:
-            _respond_json(exchange, self._make_snapshot())
+            _respond_snapshot(exchange, self._make_snapshot())
             return
         if path != STATE_PATH:
             exchange.respond(http1.HttpResponse(status=404))
             return
         parameters = urllib.parse.parse_qs(query.decode("latin-1"))
-        known_tag = parameters.get("known", [""])[0]
+        poll = _Poll(
+            known_tag=parameters.get("known", [""])[0],
+            omits_known=OMIT_KNOWN_PARAMETER in parameters,
+        )
         state = self._make_state()
-        if known_tag != _comparable_tag(state, known_tag):
-            _respond_json(exchange, state.encode())
+        if poll.differs_from(state):
+            _respond_json(exchange, poll.encode_answer(state))
             return
         timer = self._clock.call_later(
             LONG_POLL_S, self._respond_unchanged, exchange
         )
-        self._waiting[exchange] = (known_tag, timer)
+        self._waiting[exchange] = (poll, timer)
         exchange.on_disconnect = lambda: self._stop_waiting(exchange)
 
     def _stop_waiting(self, exchange: http1.Exchange) -> None:
@@ -143,19 +192,15 @@
         if not self._waiting:
             return
         state = self._make_state()
-        for exchange, (known_tag, _) in list(self._waiting.items()):
-            if known_tag != _comparable_tag(state, known_tag):
+        for exchange, (poll, _) in list(self._waiting.items()):
+            if poll.differs_from(state):
                 self._stop_waiting(exchange)
-                _respond_json(exchange, state.encode())
+                _respond_json(exchange, poll.encode_answer(state))
 
     def rejected(self, status: int, reason: str) -> None:
         """Ignore a malformed request; no caller's request depends on it."""
 
 
-def _comparable_tag(state: GathererState, known_tag: str) -> str:
-    return state.tag(include_leaves=not known_tag.endswith("-"))
-
-
 def _respond_json(exchange: http1.Exchange, data: bytes) -> None:
     exchange.respond(
         http1.HttpResponse(
@@ -164,3 +209,36 @@
             body=data,
         )
     )
+
+
+def _respond_snapshot(exchange: http1.Exchange, data: bytes) -> None:
+    """Send a snapshot, compressed if the VM that asks can read that.
+
+    Entries of leaves resemble each other, and fleets pay for bytes between
+    zones.
+    """
+    accepted = http1.find_header(exchange.request.headers, b"accept-encoding")
+    if accepted != SNAPSHOT_ENCODING:
+        _respond_json(exchange, data)
+        return
+    exchange.respond(
+        http1.HttpResponse(
+            status=200,
+            headers=[
+                (b"content-type", b"application/json"),
+                (b"content-encoding", SNAPSHOT_ENCODING),
+            ],
+            body=zlib.compress(data, _COMPRESSION_LEVEL),
+        )
+    )
+
+
+def read_snapshot(response: http1.HttpResponse) -> bytes:
+    """Return the body of a snapshot; empty if it cannot be decompressed."""
+    encoding = http1.find_header(response.headers, b"content-encoding")
+    if encoding != SNAPSHOT_ENCODING:
+        return response.body
+    try:
+        return zlib.decompress(response.body)
+    except zlib.error:
+        return b""
--- a/trefoilpier/fleet/tests/test_relay.py
+++ b/trefoilpier/fleet/tests/test_relay.py
@@ -111,6 +111,7 @@
             registry=self.registry,
             own_id="small",
             zone="z1",
+            tracks_leaves=lambda: False,
             on_state=lambda record, state: self.relay.update_version(
                 state.version
             ),
--- /dev/null
+++ b/trefoilpier/fleet/tests/test_state_polls.py
@@ -0,0 +1,167 @@
+"""Tests of the polls through which VMs follow the gatherers."""
+
+import random
+
+from standins import memory_net
+from trefoilpier import base, fleet, http1, replicas, store
+from trefoilpier.fleet import state_handler
+
+
+class UnusedStore(store.KeyValueStore):
+    """Store that is never read, since the records are given."""
+
+    __slots__ = ()
+
+    def read_all(self, *args, **options):
+        raise NotImplementedError
+
+    read = watch = write = grant_lease = keep_lease = end_lease = read_all
+
+
+class FakeGatherer:
+    """State handler of a gatherer, which counts its answers."""
+
+    def __init__(self, harness, name, vms=()):
+        self.vms = list(vms)
+        self.vm_generation = 1
+        self.leaf_generation = 1
+        self.record = fleet.VmRecord(
+            id=name,
+            zone="z1",
+            host=f"10.1.0.{len(harness.gatherer_by_id) + 1}",
+            relay_port=7000,
+            state_port=7001,
+            started_ms=1,
+        )
+        self.handler = fleet.StateHandler(
+            clock=harness.clock,
+            make_state=self._state,
+            make_snapshot=lambda: b"[]" * 500,
+        )
+        harness.net.listen(
+            self.record.host,
+            self.record.state_port,
+            http1.ServerFactory(
+                clock=harness.clock,
+                handler=self.handler,
+                limits=http1.CallerLimits(),
+            ),
+        )
+
+    def _state(self):
+        return fleet.GathererState(
+            version=3,
+            current=True,
+            leaving=False,
+            limits=http1.CallerLimits(),
+            vm_generation=self.vm_generation,
+            leaf_generation=self.leaf_generation,
+            vms=self.vms,
+        )
+
+    def change_leaves(self):
+        self.leaf_generation += 1
+        self.handler.notify_waiting()
+
+
+class PollHarness:
+    def __init__(self):
+        self.clock = base.VirtualClock(start=50.0)
+        self.net = memory_net.MemoryReactor(clock=self.clock)
+        self.gatherer_by_id = {}
+        self.states = []
+        self.connected = []
+        self.tracks_leaves = False
+        self.watch = fleet.GathererWatch(
+            clock=self.clock,
+            log=self,
+            rng=random.Random(1),
+            reactor=self.net,
+            store_client=UnusedStore(),
+            registry=replicas.LeafRegistry(
+                clock=self.clock,
+                log=base.NullEventLog(),
+                reactor=self.net,
+                id_header=b"",
+                on_capacity=lambda pool: None,
+            ),
+            own_id="small",
+            zone="z1",
+            tracks_leaves=lambda: self.tracks_leaves,
+            on_state=lambda record, state: self.states.append(state),
+        )
+
+    def emit(self, event, **fields):
+        if event is base.Event.PEER_CONNECTED:
+            self.connected.append(fields["peer"])
+
+    def add(self, name):
+        self.gatherer_by_id[name] = FakeGatherer(self, name)
+        return self.gatherer_by_id[name]
+
+    def poll(self, *gatherers):
+        for each in gatherers:
+            each.vms = each.vms or [other.record for other in gatherers]
+        self.watch._apply_records([each.record for each in gatherers])
+        self.clock.advance(0.5)
+
+
+def test_known_gatherers_are_not_sent_again():
+    harness = PollHarness()
+    gatherer = harness.add("g1")
+    harness.poll(gatherer)
+    harness.tracks_leaves = True
+    harness.clock.advance(1.5)
+    for _ in range(3):
+        gatherer.change_leaves()
+        harness.clock.advance(0.2)
+    assert harness.states[0].vms == [gatherer.record]
+    assert [state.vms for state in harness.states[-3:]] == [None] * 3
+
+
+def test_leaves_are_reported_only_while_they_matter():
+    harness = PollHarness()
+    gatherer = harness.add("g1")
+    harness.poll(gatherer)
+    for _ in range(5):
+        gatherer.change_leaves()
+        harness.clock.advance(0.5)
+    assert len(harness.states) == 1
+    harness.tracks_leaves = True
+    harness.clock.advance(1.2)
+    assert len(harness.states) == 2
+    gatherer.change_leaves()
+    harness.clock.advance(0.2)
+    assert len(harness.states) == 3
+
+
+def test_gatherers_with_different_lists_do_not_move_the_polls():
+    # Replays the time after a loss of many VMs, in which the gatherers' lists
+    # differ: 1,040 polls began within a second in a fleet of 195 VMs.
+    harness = PollHarness()
+    gatherers = [harness.add(f"g{k}") for k in range(6)]
+    for k, each in enumerate(gatherers):
+        each.vms = [other.record for j, other in enumerate(gatherers) if j != k]
+    harness.poll(*gatherers)
+    for _ in range(20):
+        for each in gatherers:
+            each.vm_generation += 1
+            each.handler.notify_waiting()
+        harness.clock.advance(0.2)
+    assert len(harness.connected) <= 4
+
+
+def test_snapshots_are_compressed_on_request():
+    harness = PollHarness()
+    gatherer = harness.add("g1")
+    client = harness.watch.make_client(gatherer.record)
+    bodies = []
+    for headers in ([], [(b"accept-encoding", fleet.SNAPSHOT_ENCODING)]):
+        client.send_request(
+            b"GET", state_handler.SNAPSHOT_PATH, headers=headers, timeout_s=1.0
+        ).addCallback(lambda outcome: bodies.append(outcome.response))
+        harness.clock.advance(0.1)
+    assert len(bodies[1].body) < len(bodies[0].body) / 4
+    assert fleet.read_snapshot(bodies[0]) == fleet.read_snapshot(bodies[1])
+    bodies[1].body = b"damaged"
+    assert fleet.read_snapshot(bodies[1]) == b""
--- a/trefoilpier/tier/peer_sync.py
+++ b/trefoilpier/tier/peer_sync.py
@@ -95,7 +95,10 @@
             port=record.state_port,
         )
         outcome = await client.send_request(
-            b"GET", fleet.SNAPSHOT_PATH, timeout_s=_SNAPSHOT_TIMEOUT_S
+            b"GET",
+            fleet.SNAPSHOT_PATH,
+            headers=[(b"accept-encoding", fleet.SNAPSHOT_ENCODING)],
+            timeout_s=_SNAPSHOT_TIMEOUT_S,
         )
         self._fetching = False
         client.close()
@@ -108,7 +111,7 @@
             return
         self._applied_tag_by_peer = {record.id: tag}
         self._store_sync.apply_peer_items(
-            decode_items(outcome.response.body), era=era
+            decode_items(fleet.read_snapshot(outcome.response)), era=era
         )
         self._log.emit(
             base.Event.TAKEN_FROM_PEER,
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -182,7 +182,10 @@
             {fleet.GATHERER_SERVICE: _RELAY_CONNECTIONS_MAX}
         )
         watch = self._make_watch(
-            registry, zone=self._boot.zone, on_state=self._handle_gatherer_state
+            registry,
+            zone=self._boot.zone,
+            tracks_leaves=lambda: False,
+            on_state=self._handle_gatherer_state,
         )
         return dispatcher.Relay(engine=engine, wire=relay_wire, watch=watch)
 
@@ -196,7 +199,11 @@
             on_capacity=lambda pool: None,
         )
         return self._make_watch(
-            registry, zone="", on_state=self._peer_sync.handle_state
+            registry,
+            zone="",
+            # The store reports them, unless it fails.
+            tracks_leaves=lambda: not self._store_sync.current,
+            on_state=self._peer_sync.handle_state,
         )
 
     def _make_watch(
@@ -204,6 +211,7 @@
         registry: replicas.LeafRegistry,
         *,
         zone: str,
+        tracks_leaves: Callable[[], bool],
         on_state: Callable[[fleet.VmRecord, fleet.GathererState], None],
     ) -> fleet.GathererWatch:
         return fleet.GathererWatch(
@@ -215,6 +223,7 @@
             registry=registry,
             own_id=self._boot.node_id,
             zone=zone,
+            tracks_leaves=tracks_leaves,
             on_state=on_state,
         )
 
