--- a/trefoilpier/routes/table.py
+++ b/trefoilpier/routes/table.py
@@ -135,13 +135,3 @@
         return frozenset(
             name for route in self.routes for name in route.service_names
         )
-
-    @property
-    def gathered_services(self) -> frozenset[str]:
-        """Services that are shards of a route."""
-        return frozenset(
-            name
-            for route in self.routes
-            if route.gather is not None
-            for name in route.gather.services
-        )
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -265,26 +265,6 @@
             self._boot.node_id
         )
 
-    def _update_selection(self) -> None:
-        """Select the gatherers again from the routes and the leaves."""
-        table = self._engine.table
-        if table is None:
-            return
-        pools_by_service = self._leaf_registry.pools_by_service
-        limits = [
-            service.connections_max
-            for service in table.service_by_name.values()
-        ]
-        self._selection.update(
-            leaf_zones_by_shard={
-                shard: {
-                    pool.entry.zone for pool in pools_by_service.get(shard, ())
-                }
-                for shard in table.gathered_services
-            },
-            count_max=fleet.gatherers_max(limits) if limits else 0,
-        )
-
     def _apply_routes(self, table: routes.RouteTable) -> None:
         self._engine.table = table
         self._on_limits(table.limits)
@@ -294,12 +274,15 @@
                 for service in table.service_by_name.values()
             }
         )
-        self._update_selection()
+        limits = [
+            service.connections_max
+            for service in table.service_by_name.values()
+        ]
+        self._selection.count_max = fleet.gatherers_max(limits) if limits else 0
         self.state_handler.notify_waiting()
 
     def _apply_members(self) -> None:
         """Adapt the shares of connections and budgets to the gatherers."""
-        self._update_selection()
         self.state_handler.notify_waiting()
         count = len(self._selection.selected)
         if count > self._vm_count:
