--- a/trefoilpier/platform/headers.py
+++ b/trefoilpier/platform/headers.py
@@ -1,5 +1,7 @@
 """The HTTP headers that the platform's callers and leaves use."""
 
+import functools
+
 from trefoilpier import forward, http1, replicas
 
 _REQUEST_ID_HEADER = b"x-request-id"
@@ -19,6 +21,8 @@
 )
 # Response headers from a leaf for the tier, not relayed to callers.
 _TIER_ONLY_HEADERS = frozenset((_LOAD_HEADER, _NOT_EXECUTED_HEADER))
+# Load reports are a few small numbers, so that most have been seen before.
+_LOAD_REPORTS_CACHED = 512
 _SEAL_FORBIDDEN_BYTES = frozenset(b' ,;\t"')
 
 
@@ -114,6 +118,7 @@
         return http1.HttpResponse(status=200, headers=headers, body=body)
 
 
+@functools.lru_cache(maxsize=_LOAD_REPORTS_CACHED)
 def _parse_load(value: bytes | None) -> replicas.LeafLoad | None:
     """Parse a load report, or return None if it is malformed.
 
