--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -243,8 +243,8 @@
         time_left_s = min(time_left_s, route.timeout_s)
         context = request_context.RequestContext(
             request=exchange.request,
-            template=http1.RequestTemplate(
-                request=exchange.request,
+            template=http1.RequestTemplate.of(
+                exchange.request,
                 headers=self.wire.forwarded_headers(exchange.request),
             ),
             metadata=metadata,
--- a/trefoilpier/http1/message.py
+++ b/trefoilpier/http1/message.py
@@ -115,24 +115,35 @@
     r"""Encoded request that is completed with the headers of each attempt.
 
     >>> request = HttpRequest(method=b"GET", target=b"/a", headers=[])
-    >>> template = RequestTemplate(request=request, headers=[(b"host", b"b")])
+    >>> template = RequestTemplate.of(request, headers=[(b"host", b"b")])
     >>> template.encode([(b"x-n", b"1")])
     b'GET /a HTTP/1.1\r\nhost: b\r\nx-n: 1\r\n\r\n'
     """
 
     __slots__ = ("_body", "_head")
 
-    def __init__(self, *, request: HttpRequest, headers: Headers) -> None:
-        """Encode what all attempts share.
+    def __init__(self, *, head: bytes, body: bytes) -> None:
+        """Initialize the template.
+
+        Args:
+            head: Request line and headers, without the empty line.
+            body: The body.
+        """
+        self._head = head
+        self._body = body
+
+    @classmethod
+    def of(cls, request: HttpRequest, *, headers: Headers) -> "RequestTemplate":
+        """Return the template of a request.
 
         Args:
             request: The request.
             headers: Its headers, without those of single attempts.
         """
-        self._head = _encode_head(
+        head = _encode_head(
             request.method, request.target, headers, len(request.body)
         )
-        self._body = request.body
+        return cls(head=head, body=request.body)
 
     def extended(self, headers: Headers) -> "RequestTemplate":
         """Return a template with further headers.
@@ -140,10 +151,9 @@
         Args:
             headers: Headers to add.
         """
-        extended = RequestTemplate.__new__(RequestTemplate)
-        extended._head = self._head + _encode_headers(headers)
-        extended._body = self._body
-        return extended
+        return RequestTemplate(
+            head=self._head + _encode_headers(headers), body=self._body
+        )
 
     def encode(self, headers: Headers) -> bytes:
         """Return the request of one attempt.
--- a/trefoilpier/tier/peer_sync.py
+++ b/trefoilpier/tier/peer_sync.py
@@ -103,16 +103,15 @@
         self._fetching = False
         client.close()
         if isinstance(outcome, http1.RequestFailed):
-            self._log.emit(
-                base.Event.PEER_REJECTED,
-                peer=record.id,
-                reason=outcome.reason,
-            )
+            self._reject(record, outcome.reason)
+            return
+        items = decode_items(fleet.read_snapshot(outcome.response))
+        if not items:
+            # Applied, it would remove every leaf.
+            self._reject(record, "snapshot is empty or malformed")
             return
         self._applied_tag_by_peer = {record.id: tag}
-        self._store_sync.apply_peer_items(
-            decode_items(fleet.read_snapshot(outcome.response)), era=era
-        )
+        self._store_sync.apply_peer_items(items, era=era)
         self._log.emit(
             base.Event.TAKEN_FROM_PEER,
             peer=record.id,
@@ -121,6 +120,9 @@
             store_current=self._store_sync.current,
         )
 
+    def _reject(self, record: fleet.VmRecord, reason: str) -> None:
+        self._log.emit(base.Event.PEER_REJECTED, peer=record.id, reason=reason)
+
 
 def encode_items(items: list[store.Item]) -> bytes:
     """Encode items as JSON.
--- a/trefoilpier/tier/tests/test_peer_sync.py
+++ b/trefoilpier/tier/tests/test_peer_sync.py
@@ -129,6 +129,16 @@
     assert not harness.sync.current
 
 
+def test_malformed_snapshot_removes_no_leaf():
+    harness = PeerSyncHarness(None, [routes_item(4), leaf_item("a")])
+    harness.report_state(4)
+    harness.peer_items = []
+    harness.report_state(4, generation=2)
+    harness.clock.advance(5.0)
+    assert harness.fetches == 2
+    assert harness.leaf_ids() == ["a"]
+
+
 def test_unchanged_state_is_not_fetched_again():
     harness = PeerSyncHarness(None, [routes_item(4), leaf_item("a")])
     harness.report_state(4)
