--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -14,6 +14,7 @@
     policy,
     request_context,
     responses,
+    service_state,
     single_run,
     wait_queue,
     weighted_round_robin,
@@ -306,44 +307,19 @@
         median_latency_s = self.latency_for(route).median_s
         return admission.AdmissionState(
             services=tuple(
-                self._service_state(service, median_latency_s, now, time_left_s)
+                service_state.estimate_service_state(
+                    self.registry.pools_by_service.get(service, ()),
+                    self._queue_by_service.get(service),
+                    median_latency_s=median_latency_s,
+                    now=now,
+                    time_left_s=time_left_s,
+                )
                 for service in services
             ),
             min_coverage=(route.gather.min_coverage if route.gather else 1.0),
             time_left_s=time_left_s,
         )
 
-    def _service_state(
-        self,
-        service: str,
-        median_latency_s: float,
-        now: float,
-        time_left_s: float,
-    ) -> admission.ServiceState:
-        """Return the state of a service.
-
-        The expected time is that of the first leaf which answers in time, or of
-        the fastest leaf if none does: whether a faster one exists does not
-        change the admission.
-        """
-        service_queue = self._queue_by_service.get(service)
-        queue_wait_s = (
-            service_queue.expected_wait_s if service_queue is not None else 0.0
-        )
-        lowest_s = None
-        for pool in self.registry.pools_by_service.get(service, ()):
-            if pool.stats.is_ejected(now):
-                continue
-            cost = pool.stats.expected_cost(now)
-            expected_s = queue_wait_s + cost * median_latency_s
-            if lowest_s is None or expected_s < lowest_s:
-                lowest_s = expected_s
-            if expected_s <= time_left_s:
-                break
-        return admission.ServiceState(
-            usable=lowest_s is not None, expected_s=lowest_s or 0.0
-        )
-
     def _refuse(
         self,
         exchange: http1.Exchange,
--- a/trefoilpier/forward/gather_run.py
+++ b/trefoilpier/forward/gather_run.py
@@ -10,6 +10,7 @@
     request_context,
     responses,
     service_call,
+    service_result,
 )
 
 _MISSING_LOGGED_MAX = 6  # Limits the length of a log line.
@@ -93,7 +94,7 @@
     def _handle_result(
         self,
         call: service_call.ServiceCall,
-        result: service_call.ServiceResult,
+        result: service_result.ServiceResult,
     ) -> None:
         self._pending_count -= 1
         if result.ran is not base.Ran.NO:
@@ -114,7 +115,7 @@
     def _awaits_parts(
         self,
         call: service_call.ServiceCall,
-        result: service_call.ServiceResult,
+        result: service_result.ServiceResult,
     ) -> bool:
         """Return whether a part was added and others are still awaited.
 
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -1,7 +1,6 @@
 """A request to one service, with retries and hedging."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from trefoilpier import base, replicas
 from trefoilpier.forward import (
@@ -10,33 +9,12 @@
     hedge_timer,
     hedging,
     request_context,
+    service_result,
     wait_queue,
 )
 from trefoilpier.forward import wire as wires
 
 
-@dataclass(slots=True, kw_only=True)
-class ServiceResult:
-    """Result of a service call.
-
-    Attributes:
-        answer: The leaf's answer, which may be an error response.
-        ran: Whether a leaf ran, or may have run, the request.
-        leaf_id: Id of the leaf that answered.
-        reason: Why there is no successful answer.
-    """
-
-    answer: wires.LeafAnswer | None = None
-    ran: base.Ran = base.Ran.NO
-    leaf_id: str = ""
-    reason: str = ""
-
-    @property
-    def successful(self) -> bool:
-        """Whether the leaf answered successfully."""
-        return self.answer is not None and self.answer.successful
-
-
 class ServiceCall(wait_queue.QueuedCall):
     """A request to one service, sent to its leaves until one answers.
 
@@ -74,7 +52,7 @@
         context: request_context.RequestContext,
         service: str,
         timer: hedge_timer.HedgeTimer,
-        on_done: Callable[["ServiceCall", ServiceResult], None],
+        on_done: Callable[["ServiceCall", service_result.ServiceResult], None],
     ) -> None:
         """Create the call; `start` sends it.
 
@@ -314,7 +292,9 @@
         )
         estimator.add(elapsed_s)
         self._finish(
-            ServiceResult(answer=answer, ran=self.ran, leaf_id=pool.entry.id)
+            service_result.ServiceResult(
+                answer=answer, ran=self.ran, leaf_id=pool.entry.id
+            )
         )
 
     def _retry_not_sent(self) -> None:
@@ -354,12 +334,12 @@
             return
         answer, leaf_id = self._failed_answer or (None, "")
         self._finish(
-            ServiceResult(
+            service_result.ServiceResult(
                 answer=answer, ran=self.ran, leaf_id=leaf_id, reason=reason
             )
         )
 
-    def _finish(self, result: ServiceResult) -> None:
+    def _finish(self, result: service_result.ServiceResult) -> None:
         if self._done:
             return
         self.cancel_calls()
--- a/trefoilpier/forward/single_run.py
+++ b/trefoilpier/forward/single_run.py
@@ -8,6 +8,7 @@
     request_context,
     responses,
     service_call,
+    service_result,
 )
 
 # The response must reach the caller before its deadline.
@@ -61,7 +62,7 @@
     def _handle_result(
         self,
         call: service_call.ServiceCall,
-        result: service_call.ServiceResult,
+        result: service_result.ServiceResult,
     ) -> None:
         if result.answer is not None:
             code = (
