--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -116,14 +116,15 @@
         """Handle a restore of the store, before its items are applied.
 
         Leaves missing from the older copy have time to register again, and
-        entries of leaves that have left are ignored for a while.
+        entries of leaves that have left are ignored for a while. Changes
+        that follow are new and count at once.
         """
         self.handle_store_recovery()
         self._departures.distrust_entries()
 
     @property
     def entries_distrusted_until(self) -> float:
-        """Monotonic time until which `put` ignores outdated entries."""
+        """Monotonic time until which `replace_all` ignores some entries."""
         return self._departures.distrust_until
 
     def _start_grace(self, leaf_id: str, until: float) -> None:
@@ -157,7 +158,8 @@
         """
         by_id = {entry.id: entry for entry in listed}
         for entry in by_id.values():
-            self.put(entry)
+            if not self._departures.contradict(entry):
+                self.put(entry)
         for leaf_id in set(self.pool_by_id) - set(by_id):
             if from_peer:
                 self._start_grace(
@@ -169,8 +171,6 @@
     def put(self, entry: entries.LeafEntry) -> None:
         """Add or update a leaf."""
         self._grace_until_by_id.pop(entry.id, None)
-        if self._departures.contradict(entry):
-            return
         current = self.pool_by_id.get(entry.id)
         if current is not None and not current.entry.is_same_process(entry):
             self._remove(entry.id, "leaf restarted")
--- a/trefoilpier/tier/tests/test_store_restore.py
+++ b/trefoilpier/tier/tests/test_store_restore.py
@@ -231,6 +231,19 @@
     assert harness.usable_leaves() == ["b"]
 
 
+def test_leaf_that_writes_again_after_the_restore_is_used_at_once(harness):
+    harness.start()
+    harness.remove_leaf("a")
+    harness.clock.advance(1.0)
+    saved = harness.model.copy()
+    harness.outage(saved)
+    harness.client.read("op/config")
+    harness.clock.advance(0.5)
+    harness.put_leaf("a")
+    harness.clock.advance(1.0)
+    assert harness.usable_leaves() == ["a", "b"]
+
+
 def test_vm_registers_again_within_two_seconds(harness):
     saved = harness.model.copy()
     harness.start()
