--- a/lab/main.py
+++ b/lab/main.py
@@ -1,13 +1,15 @@
 """Experiments on policies with simulated leaves and callers.
 
-    bin/lab run SCENARIO [--json FILE] [--plot FILE] [--jobs N]
-    bin/lab ablate SCENARIO [--json FILE] [--plot FILE] [--jobs N]
+    bin/lab run SCENARIO [--json FILE] [--report DIR] [--jobs N]
+    bin/lab ablate SCENARIO [--json FILE] [--report DIR] [--jobs N]
+    bin/lab report SCENARIO FILE DIR
     bin/lab compare BEFORE AFTER
 
 ``run`` plays each policy of a scenario with each seed, ``ablate`` plays the
-default policy and one for each mechanism that is switched off, and ``compare``
-pairs the runs of two JSON files by policy and seed. Differences come with a
-standard error; one within two standard errors is no finding.
+default policy and one for each mechanism that is switched off, ``report``
+writes a page with plots from a JSON file, and ``compare`` pairs the runs of two
+JSON files by policy and seed. Differences come with a standard error; one
+within two standard errors is no finding.
 """
 
 import argparse
@@ -99,32 +101,6 @@
     return sorted(rows, key=lambda row: (row.policy, row.seed))
 
 
-def write_plot(
-    rows: list[results.RunFigures], policies: list[str], path: pathlib.Path
-) -> None:
-    """Write a plot of the credit by second for each policy."""
-    import matplotlib
-
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
-    figure, axes = pyplot.subplots(figsize=(9, 4))
-    for name in policies:
-        own = [row.credit_by_second for row in rows if row.policy == name]
-        seconds = sorted({second for row in own for second in row})
-        means = [
-            results.mean_and_error(
-                [row[second] for row in own if second in row]
-            )[0]
-            for second in seconds
-        ]
-        axes.plot(seconds, means, label=name)
-    axes.set_xlabel("seconds")
-    axes.set_ylabel("mean credit")
-    axes.legend(fontsize="small")
-    figure.savefig(path, bbox_inches="tight")
-
-
 def _print_findings(findings: Iterable[object]) -> None:
     for finding in findings:
         print(f"bin/lab: {finding}", file=sys.stderr)
@@ -143,8 +119,38 @@
     print(results.table(rows, policies))
     if args.json:
         args.json.write_bytes(orjson.dumps(results.to_json(rows)))
-    if args.plot:
-        write_plot(rows, policies, args.plot)
+    if args.report:
+        _write_report(rows, scenario, args.scenario, args.report)
+    return 0
+
+
+def _write_report(
+    rows: list[results.RunFigures],
+    scenario: scenarios.Scenario,
+    scenario_path: pathlib.Path,
+    directory: pathlib.Path,
+) -> None:
+    # Imported only here, since the plotting library takes a second.
+    from lab import report
+
+    page = report.write_report(
+        rows, scenario, title=scenario_path.stem, directory=directory
+    )
+    print(page)
+
+
+def _report_command(args: argparse.Namespace) -> int:
+    read = scenarios.read_scenario(args.scenario)
+    if read.is_error():
+        _print_findings(read.error)
+        return _EXIT_INVALID
+    rows = _read_rows(args.results)
+    if rows is None:
+        return _EXIT_INVALID
+    if not rows:
+        _print_findings([f"{args.results}: there are no runs in it"])
+        return _EXIT_INVALID
+    _write_report(rows, read.ok, args.scenario, args.directory)
     return 0
 
 
@@ -184,9 +190,14 @@
         command = commands.add_parser(name)
         command.add_argument("scenario", type=pathlib.Path)
         command.add_argument("--json", type=pathlib.Path)
-        command.add_argument("--plot", type=pathlib.Path)
+        command.add_argument("--report", type=pathlib.Path)
         command.add_argument("--jobs", type=int, default=_JOBS_DEFAULT)
         command.set_defaults(call=_run_command)
+    command = commands.add_parser("report")
+    command.add_argument("scenario", type=pathlib.Path)
+    command.add_argument("results", type=pathlib.Path)
+    command.add_argument("directory", type=pathlib.Path)
+    command.set_defaults(call=_report_command)
     command = commands.add_parser("compare")
     command.add_argument("before", type=pathlib.Path)
     command.add_argument("after", type=pathlib.Path)
--- a/lab/results.py
+++ b/lab/results.py
@@ -23,6 +23,7 @@
         p50_ms: Median latency of the successful answers in milliseconds.
         p99_ms: 99th percentile of the same.
         extra: Retries and hedges per first send.
+        far: Share of the calls that went to another availability zone.
         credit_by_second: Mean credit by second of the load.
     """
 
@@ -37,6 +38,7 @@
     p99_ms: float
     extra: float
     credit_by_second: dict[int, float]
+    far: float = 0.0
 
 
 def measure(
@@ -85,6 +87,8 @@
             second: _mean(values)
             for second, values in sorted(credits_by_second.items())
         },
+        far=sum(wire.far for wire in world.wires)
+        / max(1, sum(wire.near + wire.far for wire in world.wires)),
     )
 
 
@@ -123,7 +127,7 @@
     lines = [
         f"{'policy':<24} {'credit':>7} {'error':>7} {'to first':>9} "
         f"{'error':>7} {'covered':>8} {'in time':>8} {'refused':>8} "
-        f"{'failed':>7} {'p50 ms':>7} {'p99 ms':>7} {'extra':>6}"
+        f"{'failed':>7} {'p50 ms':>7} {'p99 ms':>7} {'extra':>6} {'far':>6}"
     ]
     for name in policies:
         own = [row for row in rows if row.policy == name]
@@ -141,7 +145,8 @@
             f"{_mean([r.failed for r in own]):7.4f} "
             f"{_mean([r.p50_ms for r in own]):7.1f} "
             f"{_mean([r.p99_ms for r in own]):7.1f} "
-            f"{_mean([r.extra for r in own]):6.3f}"
+            f"{_mean([r.extra for r in own]):6.3f} "
+            f"{_mean([r.far for r in own]):6.3f}"
         )
     return "\n".join(lines)
 
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -20,7 +20,8 @@
 
     Attributes:
         vms: Entry VMs.
-        zones: Availability zones, over which VMs and replicas are spread.
+        zones: Availability zones, over which VMs are spread. The replicas of a
+            shard stand in neighbouring zones, from another one for each shard.
         shards: Shards of the index.
         replicas: Leaves of each shard.
         slots: Requests that a leaf runs at a time.
--- a/lab/world.py
+++ b/lab/world.py
@@ -48,6 +48,33 @@
         return self.coverage**2 * (1.0 if in_time else self.kind.late_credit)
 
 
+class CountingWire(platform.PlatformWire):
+    """The platform's headers, with counts of the calls by zone.
+
+    Attributes:
+        near: Calls to leaves of the VM's availability zone.
+        far: Calls to leaves of other zones.
+    """
+
+    __slots__ = ("_zone", "_zone_by_leaf", "far", "near")
+
+    def __init__(self, *, zone: str, zone_by_leaf: dict[str, str]) -> None:
+        self._zone = zone
+        self._zone_by_leaf = zone_by_leaf
+        self.near = 0
+        self.far = 0
+
+    def encode(
+        self, template: http1.RequestTemplate, *, leaf_id: str, wait_s: float
+    ) -> bytes:
+        """Count and encode the request to one leaf."""
+        if self._zone_by_leaf[leaf_id] == self._zone:
+            self.near += 1
+        else:
+            self.far += 1
+        return super().encode(template, leaf_id=leaf_id, wait_s=wait_s)
+
+
 class LabWorld:
     """One run of a scenario.
 
@@ -55,6 +82,7 @@
         outcomes: Outcomes of the callers' requests.
         engines: Engines of the VMs.
         leaves: The leaves, by shard and replica.
+        wires: Counts of the VMs' calls by zone.
     """
 
     __slots__ = (
@@ -65,9 +93,11 @@
         "_scenario",
         "_start",
         "_work_by_prefix",
+        "_zone_by_leaf",
         "engines",
         "leaves",
         "outcomes",
+        "wires",
     )
 
     def __init__(
@@ -91,6 +121,13 @@
             f"/{kind.name}/".encode(): kind for kind in scenario.kinds
         }
         self.leaves = self._make_leaves(seed)
+        sizes = scenario.deployment
+        self._zone_by_leaf = {
+            leaf.id: f"z{(shard + replica) % sizes.zones}"
+            for shard, row in enumerate(self.leaves)
+            for replica, leaf in enumerate(row)
+        }
+        self.wires: list[CountingWire] = []
         self.engines = [
             self._make_vm(index, policy, seed)
             for index in range(scenario.deployment.vms)
@@ -151,14 +188,16 @@
         self, index: int, policy: forward.ForwardPolicy, seed: int
     ) -> forward.ForwardEngine:
         sizes = self._scenario.deployment
-        wire = platform.PlatformWire()
+        zone = f"z{index % sizes.zones}"
+        wire = CountingWire(zone=zone, zone_by_leaf=self._zone_by_leaf)
+        self.wires.append(wire)
         engine = forward.ForwardEngine(
             clock=self._clock,
             log=base.NullEventLog(),
             wire=wire,
             chooser=replicas.LeafChooser(
                 rng=random.Random(f"{seed}|vm{index}"),
-                zone=f"z{index % sizes.zones}",
+                zone=zone,
                 policy=policy.leaves,
             ),
             budget_limits=forward.RetryBudgetLimits(
@@ -204,12 +243,12 @@
                 host, port = self._address(shard, replica)
                 registry.put(
                     replicas.LeafEntry(
-                        id=f"s{shard}-{replica}",
+                        id=self.leaves[shard][replica].id,
                         incarnation=0,
                         service=f"shard{shard}",
                         host=host,
                         port=port,
-                        zone=f"z{replica % sizes.zones}",
+                        zone=self._zone_by_leaf[self.leaves[shard][replica].id],
                         slots=sizes.slots,
                         phase=replicas.LeafPhase.READY,
                     )
