A whole fleet on a virtual clock: VMs of two sizes, their store and leaves

Change: standins/memory_fleet runs the production VMs, which can be killed and started, with the stand-in store; bin/lab fleet plays a calm phase, the loss of all VMs and a restored store. TierVm gets its random numbers passed in, so that such runs repeat; the daemon passes what it used before.

--- a/lab/main.py
+++ b/lab/main.py
@@ -3,13 +3,16 @@
     bin/lab run SCENARIO [--json FILE] [--report DIR] [--jobs N]
     bin/lab ablate SCENARIO [--json FILE] [--report DIR] [--jobs N]
     bin/lab report SCENARIO FILE DIR
+    bin/lab fleet [--large N] [--small N] [--zones N] [--shards N] [--rate R]
+                  [--seconds S] [--seed N]
     bin/lab compare BEFORE AFTER
 
 ``run`` plays each policy of a scenario with each seed, ``ablate`` plays the
 default policy and one for each mechanism that is switched off, ``report``
 writes a page with plots from a JSON file, and ``compare`` pairs the runs of two
 JSON files by policy and seed. Differences come with a standard error; one
-within two standard errors is no finding.
+within two standard errors is no finding. ``fleet`` plays a whole fleet with its
+store: a calm phase, the loss of all VMs, and a store that comes back older.
 """
 
 import argparse
@@ -21,8 +24,9 @@
 
 import orjson
 
-from lab import results, world
+from lab import fleet, results, world
 from lab import scenario as scenarios
+from standins import memory_fleet
 from trefoilpier import forward, replicas
 
 _JOBS_DEFAULT = 4
@@ -154,6 +158,20 @@
     return 0
 
 
+def _fleet_command(args: argparse.Namespace) -> int:
+    sizes = memory_fleet.FleetSizes(
+        large=args.large,
+        small=args.small,
+        zones=args.zones,
+        shards=args.shards,
+    )
+    figures = fleet.run_experiment(
+        sizes, rate=args.rate, seconds=args.seconds, seed=args.seed
+    )
+    print(fleet.table(figures))
+    return 0
+
+
 def _read_rows(path: pathlib.Path) -> list[results.RunFigures] | None:
     try:
         return results.from_json(orjson.loads(path.read_bytes()))
@@ -193,6 +211,14 @@
         command.add_argument("--report", type=pathlib.Path)
         command.add_argument("--jobs", type=int, default=_JOBS_DEFAULT)
         command.set_defaults(call=_run_command)
+    command = commands.add_parser("fleet")
+    for name, default in (("large", 3), ("small", 9), ("zones", 3)):
+        command.add_argument(f"--{name}", type=int, default=default)
+    command.add_argument("--shards", type=int, default=6)
+    command.add_argument("--rate", type=float, default=40.0)
+    command.add_argument("--seconds", type=float, default=10.0)
+    command.add_argument("--seed", type=int, default=1)
+    command.set_defaults(call=_fleet_command)
     command = commands.add_parser("report")
     command.add_argument("scenario", type=pathlib.Path)
     command.add_argument("results", type=pathlib.Path)
--- /dev/null
+++ b/standins/memory_fleet.py
@@ -0,0 +1,490 @@
+"""A fleet of tier VMs with their store and leaves, on a virtual clock.
+
+The VMs run the production code of `trefoilpier.tier`. They can be killed and
+started, and the store can fail or come back from an older copy.
+"""
+
+import pathlib
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet import protocol
+
+from standins import (
+    httpd,
+    memory_net,
+    opaque_caller,
+    opaque_leaf,
+    platform,
+    platform_model,
+    published_protocol,
+)
+from trefoilpier import base, fleet, forward, http1
+from trefoilpier import platform as platform_adapter
+from trefoilpier.tier import vm as tier_vm
+
+STORE_ADDRESS = ("10.255.0.1", 90)
+CALLER_PORT = 80
+_FIRST_INTERNAL_PORT = 90
+_LEAF_PORT = 8000
+_HEARTBEAT_S = 1.2
+_EXPIRY_S = 3 * _HEARTBEAT_S
+_REPLICAS = 3
+# The timeout of the routes: a caller with less time has tried before.
+_DEADLINE_S = 1.5
+_ANSWER_MARGIN_S = 0.2
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class FleetSizes:
+    """Sizes of a fleet.
+
+    Attributes:
+        large: VMs with enough capacity to gather.
+        small: VMs that relay.
+        zones: Availability zones, over which VMs and leaves are spread.
+        shards: Shards of three leaves each.
+        work_s: Mean work of a leaf a request, in seconds.
+        start_s: Seconds from power to a running process.
+    """
+
+    large: int = 2
+    small: int = 4
+    zones: int = 2
+    shards: int = 4
+    work_s: float = 0.005
+    start_s: float = 0.4
+
+
+class _LifeClock(base.Clock):
+    """The fleet's clock for one process: its timers end with it."""
+
+    __slots__ = ("_clock", "ended")
+
+    def __init__(self, *, clock: base.Clock) -> None:
+        self._clock = clock
+        self.ended = False
+
+    def monotonic(self) -> float:
+        return self._clock.monotonic()
+
+    def utc_now(self) -> Any:
+        return self._clock.utc_now()
+
+    def call_later(
+        self, delay: float, callback: Callable[..., Any], *args: Any
+    ) -> base.Timer:
+        def run() -> None:
+            if not self.ended:
+                callback(*args)
+
+        return self._clock.call_later(delay, run)
+
+
+class _LifeNetwork:
+    """The fleet's network for one process: its connections end with it."""
+
+    __slots__ = ("_factories", "_net")
+
+    def __init__(self, *, net: memory_net.MemoryReactor) -> None:
+        self._net = net
+        self._factories: list[_RecordingFactory] = []
+
+    def connectTCP(  # noqa: N802
+        self, host: str, port: int, factory: Any, timeout: float = 30.0
+    ) -> None:
+        """Connect to an address."""
+        recording = _RecordingFactory(wrapped=factory)
+        self._factories.append(recording)
+        self._net.connectTCP(host, port, recording, timeout)
+
+    def end(self) -> None:
+        """Reset all connections; those being opened fail silently."""
+        for factory in self._factories:
+            factory.end()
+
+
+class _RecordingFactory(protocol.ClientFactory):
+    """Factory of a connection that can be reset later."""
+
+    noisy = False
+
+    def __init__(self, *, wrapped: Any) -> None:
+        self._wrapped = wrapped
+        self._ended = False
+        self._protocol: Any = None
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        if self._ended:
+            return _ResettingProtocol()
+        self._protocol = self._wrapped.buildProtocol(addr)
+        return self._protocol
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
+        if not self._ended:
+            self._wrapped.clientConnectionFailed(connector, reason)
+
+    def end(self) -> None:
+        self._ended = True
+        if self._protocol is not None:
+            self._protocol.transport.abortConnection()
+
+
+class _ResettingProtocol(protocol.Protocol):
+    """Resets a connection that opens after its process has ended."""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.abortConnection()
+
+
+class MemoryVm:
+    """One VM, whose process can be killed and started.
+
+    Attributes:
+        name: Name of the VM.
+        host: Its address.
+        process: The running process, or None.
+        starts: Number of starts so far.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_life_clock",
+        "_life_net",
+        "_log",
+        "_net",
+        "_rng",
+        "_servers",
+        "_settings",
+        "_zone",
+        "host",
+        "name",
+        "process",
+        "starts",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: base.Clock,
+        net: memory_net.MemoryReactor,
+        log: base.EventLog,
+        rng: random.Random,
+        settings: pathlib.Path,
+        name: str,
+        zone: str,
+        host: str,
+        cores: float,
+    ) -> None:
+        self._clock = clock
+        self._net = net
+        self._log = log
+        self._rng = rng
+        self._settings = settings
+        self._zone = zone
+        self._servers: dict[int, http1.ServerFactory] = {}
+        self._life_clock = _LifeClock(clock=clock)
+        self._life_net = _LifeNetwork(net=net)
+        self.name = name
+        self.host = host
+        self.process: tier_vm.TierVm | None = None
+        self.starts = 0
+        settings.write_text(
+            published_protocol.settings_text(
+                name=name,
+                zone=zone,
+                ports=published_protocol.VmPorts(
+                    host=host,
+                    caller_port=CALLER_PORT,
+                    readiness_port=CALLER_PORT + 1,
+                    first_internal_port=_FIRST_INTERNAL_PORT,
+                ),
+                store=f"{STORE_ADDRESS[0]}:{STORE_ADDRESS[1]}",
+                cores=cores,
+            )
+        )
+
+    def start(self) -> None:
+        """Start a process."""
+        self.starts += 1
+        self._life_clock = _LifeClock(clock=self._clock)
+        self._life_net = _LifeNetwork(net=self._net)
+        self.process = tier_vm.TierVm(
+            boot=platform_adapter.read_boot(str(self._settings)).ok,
+            clock=self._life_clock,
+            log=self._log,
+            reactor=self._life_net,
+            on_limits=lambda limits: None,
+            policy=forward.ForwardPolicy(),
+            rng=random.Random(self._rng.random()),
+        )
+        record = fleet.VmRecord(
+            id=self.name,
+            zone=self._zone,
+            host=self.host,
+            relay_port=_FIRST_INTERNAL_PORT,
+            state_port=_FIRST_INTERNAL_PORT + 1,
+            started_ms=self.starts,
+        )
+        handler_by_port = {CALLER_PORT: self.process.request_dispatcher}
+        if self.process.can_gather:
+            handler_by_port[record.relay_port] = self.process.relay_handler
+            handler_by_port[record.state_port] = self.process.state_handler
+        for port, handler in handler_by_port.items():
+            server = http1.ServerFactory(
+                clock=self._life_clock,
+                handler=handler,
+                limits=http1.CallerLimits(),
+            )
+            self._servers[port] = server
+            self._net.listen(self.host, port, server)
+        self.process.start(record)
+
+    def kill(self) -> None:
+        """End the process at once, with its timers and connections."""
+        self.process = None
+        self._life_clock.ended = True
+        for port, server in self._servers.items():
+            self._net.stop_listening(self.host, port)
+            for connection in list(server.connections):
+                connection.transport.abortConnection()
+        self._servers.clear()
+        self._life_net.end()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class FleetAnswer:
+    """Answer to a caller's request.
+
+    Attributes:
+        sent_at: Monotonic time of sending.
+        took_s: Seconds until the answer.
+        status: Its status; 0 for none.
+        missing: Shards that it states as missing.
+    """
+
+    sent_at: float
+    took_s: float
+    status: int
+    missing: int = 0
+
+    @property
+    def whole(self) -> bool:
+        """Whether the answer has all shards."""
+        return self.status == 200 and not self.missing
+
+
+class MemoryFleet:
+    """VMs of two sizes, leaves and store.
+
+    Attributes:
+        answers: Answers to callers, in the order of their arrival.
+        clock: The virtual clock.
+        log: Events of all VMs.
+        model: The store.
+        vms: The VMs, large ones first.
+    """
+
+    __slots__ = (
+        "_leaf_value_by_id",
+        "_net",
+        "_next_request",
+        "_rng",
+        "_sizes",
+        "_version",
+        "answers",
+        "clock",
+        "log",
+        "model",
+        "vms",
+    )
+
+    def __init__(
+        self,
+        *,
+        directory: pathlib.Path,
+        log: base.EventLog,
+        sizes: FleetSizes,
+        seed: int = 1,
+    ) -> None:
+        """Create the leaves, the first routes and VMs that do not run.
+
+        Args:
+            directory: Directory of the VMs' settings files.
+            log: Log of all VMs.
+            sizes: Sizes of the fleet.
+            seed: Seed of everything random.
+        """
+        self._rng = random.Random(seed)
+        self._sizes = sizes
+        self._version = 0
+        self._next_request = 0
+        self.clock = base.VirtualClock(start=100.0)
+        self.log = log
+        self._net = memory_net.MemoryReactor(clock=self.clock)
+        self.model = platform_model.PlatformModel(clock=self.clock)
+        server = platform.PlatformServer(model=self.model, clock=self.clock)
+        self._net.listen(
+            *STORE_ADDRESS, httpd.HttpFactory(handle=server.handle)
+        )
+        self.answers: list[FleetAnswer] = []
+        self._leaf_value_by_id: dict[str, str] = {}
+        for shard in range(sizes.shards):
+            for replica in range(_REPLICAS):
+                self.add_leaf(shard, replica)
+        self.write_routes()
+        self.vms = [
+            self._make_vm(index, directory)
+            for index in range(sizes.large + sizes.small)
+        ]
+        self._heartbeat()
+
+    def add_leaf(self, shard: int, replica: int) -> None:
+        """Start a leaf, which writes its entry at once."""
+        leaf = opaque_leaf.OpaqueLeaf(
+            clock=self.clock,
+            rng=random.Random(self._rng.random()),
+            leaf_id=f"s{shard}-{replica}",
+            work_s=self._sizes.work_s,
+        )
+        host = f"10.2.{shard}.{replica}"
+        self._net.listen(host, _LEAF_PORT, leaf.factory())
+        value = published_protocol.leaf_value(
+            service=f"shard{shard}",
+            address=f"{host}:{_LEAF_PORT}",
+            zone=f"z{(shard + replica) % self._sizes.zones}",
+            slots=leaf.slots,
+            leaving=False,
+        )
+        self._leaf_value_by_id[leaf.id] = value
+        self.model.put(
+            published_protocol.LEAF_PREFIX + leaf.id, value, None, ""
+        )
+
+    def _make_vm(self, index: int, directory: pathlib.Path) -> MemoryVm:
+        large = index < self._sizes.large
+        name = f"vm-{index}"
+        return MemoryVm(
+            clock=self.clock,
+            net=self._net,
+            log=self.log,
+            rng=random.Random(self._rng.random()),
+            settings=directory / name,
+            name=name,
+            zone=f"z{index % self._sizes.zones}",
+            host=f"10.1.{index // 200}.{index % 200}",
+            cores=2.0 if large else 0.5,
+        )
+
+    def write_routes(self) -> int:
+        """Write a new version of the routes; return its number."""
+        self._version += 1
+        self._put_routes()
+        return self._version
+
+    def _put_routes(self) -> None:
+        self.model.put(
+            published_protocol.ROUTES_KEY,
+            published_protocol.routes_value(
+                version=self._version,
+                shards=[f"shard{k}" for k in range(self._sizes.shards)],
+                single="shard0",
+            ),
+            None,
+            "",
+        )
+
+    def _heartbeat(self) -> None:
+        """Let leaves write the entries that the store does not have."""
+        if not self.model.faults.down:
+            stored = self.model.keys(published_protocol.LEAF_PREFIX)
+            for leaf_id, value in self._leaf_value_by_id.items():
+                key = published_protocol.LEAF_PREFIX + leaf_id
+                if key not in stored:
+                    self.model.put(key, value, None, "")
+        self.clock.call_later(_HEARTBEAT_S, self._heartbeat)
+
+    def start_all(self) -> None:
+        """Give power to all VMs; their processes run a little later."""
+        for vm in self.vms:
+            jitter_s = self._rng.uniform(0.0, 0.2)
+            self.clock.call_later(self._sizes.start_s + jitter_s, vm.start)
+
+    def kill_all(self) -> None:
+        """Kill all processes."""
+        for vm in self.vms:
+            vm.kill()
+
+    def restore_store(
+        self, saved: platform_model.StoreCopy, outage_s: float
+    ) -> None:
+        """Take the store down, and bring it back from a copy.
+
+        The operator and the leaves write again what the copy lacks.
+        """
+        self.model.faults.down = True
+
+        def bring_back() -> None:
+            self.model.faults.down = False
+            self.model.restore(saved)
+            self.clock.call_later(_HEARTBEAT_S, self._put_routes)
+
+        self.clock.call_later(outage_s, bring_back)
+
+    def run_load(self, *, seconds: float, rate: float) -> list[FleetAnswer]:
+        """Send gathered requests to the VMs in turn, for some seconds.
+
+        Args:
+            seconds: Length of the load.
+            rate: Requests a second.
+
+        Returns:
+            Answers to the requests of this load.
+        """
+        first = len(self.answers)
+        for number in range(int(seconds * rate)):
+            self.clock.call_later(number / rate, self._send_request)
+        self.clock.advance(seconds)
+        return self.answers[first:]
+
+    def _send_request(self) -> None:
+        self._next_request += 1
+        vm = self.vms[self._next_request % len(self.vms)]
+        client = http1.HttpClient(
+            reactor=self._net,
+            clock=self.clock,
+            host=vm.host,
+            port=CALLER_PORT,
+        )
+        sent_at = self.clock.monotonic()
+
+        def record(
+            outcome: http1.ResponseReceived | http1.RequestFailed,
+        ) -> None:
+            client.close()
+            status, missing = 0, 0
+            if isinstance(outcome, http1.ResponseReceived):
+                status = outcome.response.status
+                missing = opaque_caller.missing_shards(outcome.response)
+            self.answers.append(
+                FleetAnswer(
+                    sent_at=sent_at,
+                    took_s=self.clock.monotonic() - sent_at,
+                    status=status,
+                    missing=missing,
+                )
+            )
+
+        client.send_request(
+            b"GET",
+            b"/g/1",
+            headers=[
+                (b"host", b"soak.example"),
+                *opaque_caller.attempt_headers(
+                    b"%016x" % self._next_request, _DEADLINE_S
+                ),
+            ],
+            timeout_s=_DEADLINE_S + _ANSWER_MARGIN_S,
+        ).addCallback(record)
--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import random
 import signal
 import sys
 from collections.abc import Iterable
@@ -50,6 +51,7 @@
             reactor=reactor,
             on_limits=self._set_caller_limits,
             policy=policy,
+            rng=random.Random(),
         )
         self._metrics = metrics.TierMetrics(
             engine_by_role=self._vm.engine_by_role,
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -76,6 +76,7 @@
         reactor: Any,
         on_limits: Callable[[http1.CallerLimits], None],
         policy: forward.ForwardPolicy,
+        rng: random.Random,
     ) -> None:
         """Create the components; none runs before `start`.
 
@@ -86,6 +87,7 @@
             reactor: Reactor that opens connections.
             on_limits: Called when the limits on callers' requests change.
             policy: Settings of the decisions on requests.
+            rng: Source of jitter.
         """
         self._policy = policy
         self._boot = boot
@@ -93,7 +95,7 @@
         self._log = log
         self._reactor = reactor
         self._on_limits = on_limits
-        self._rng = random.Random()
+        self._rng = rng
         self._vm_count = 0
         self.stopping = False
         self._store = platform.PlatformStore(
