bin/lab fuzz: random faults on a whole fleet on a virtual clock

Cause: the soak plays few VMs with real processes in real time; the stand-in fleet can play faults of the store, the VMs and the leaves together in seconds.

Change: lab/fuzz applies random faults, of the store in particular, and checks routes, leaving leaves, and that the fleet has recovered; bin/lab fuzz plays seeds. Leaves of the stand-in fleet join, leave, write again after a restore, and entries of gone ones expire.

--- /dev/null
+++ b/lab/fuzz.py
@@ -0,0 +1,267 @@
+"""Random faults on a whole fleet, and what must hold all the same.
+
+A run is repeated by its seed. It ends with a quiet time, after which the fleet
+must have recovered.
+"""
+
+import collections
+import pathlib
+import random
+import tempfile
+from collections.abc import Callable, Iterator
+
+from lab import event_rows
+from standins import memory_fleet
+from trefoilpier import base, fleet
+
+SIZES = memory_fleet.FleetSizes(large=3, small=5, zones=3, shards=4)
+_START_WAIT_S = 3.0
+_FAULTS_S = 14.0  # Time in which faults begin.
+_GAP_RANGE_S = (0.2, 1.2)
+_RESTART_RANGE_S = (0.3, 2.0)
+_OUTAGE_RANGE_S = (0.3, 3.0)
+_COPY_AGE_RANGE_S = (0.5, 4.0)
+_SLOW_ANSWER_S = 0.3
+# Longer than the fleet may take to recover once all faults have ended.
+_QUIET_S = 12.0
+_RATE = 20.0
+_JUDGED_S = 3.0
+_WHOLE_MIN = 0.99
+_LEAF_LEAVES_AFTER_S = 5.0
+_REPLICAS_MIN = 2
+# A leaf gets no new requests this long after it announced that it leaves, if
+# the store has been stable around that.
+_DRAIN_S = 3.0
+_STABLE_S = 4.0
+
+
+class FleetFuzz:
+    """One run with random faults.
+
+    Attributes:
+        applied: The faults so far, with their times since the start.
+        fleet: The fleet.
+    """
+
+    __slots__ = (
+        "_log",
+        "_next_replica",
+        "_rng",
+        "_started_at",
+        "_store_trouble",
+        "applied",
+        "fleet",
+    )
+
+    def __init__(self, *, directory: pathlib.Path, seed: int) -> None:
+        """Create a fleet that does not run.
+
+        Args:
+            directory: Directory of the VMs' settings files.
+            seed: Seed of everything random.
+        """
+        self._rng = random.Random(seed)
+        self._log = event_rows.EventRows()
+        self.fleet = memory_fleet.MemoryFleet(
+            directory=directory,
+            log=self._log,
+            sizes=SIZES,
+            seed=seed,
+        )
+        self._next_replica = 3
+        self._started_at = self.fleet.clock.monotonic()
+        # Start and end of each time in which the store was not stable.
+        self._store_trouble: list[tuple[float, float]] = []
+        self.applied: list[str] = []
+
+    def run(self) -> list[str]:
+        """Run, and return what was violated."""
+        fleet_ = self.fleet
+        fleet_.start_all()
+        fleet_.clock.advance(_START_WAIT_S)
+        self._schedule_next(fleet_.clock.monotonic() + _FAULTS_S)
+        fleet_.run_load(seconds=_FAULTS_S + _QUIET_S, rate=_RATE)
+        answers = fleet_.run_load(seconds=_JUDGED_S, rate=_RATE)
+        return list(self._violations(answers))
+
+    def _schedule_next(self, end_at: float) -> None:
+        def apply() -> None:
+            if self.fleet.clock.monotonic() < end_at:
+                self._apply_fault()
+                self._schedule_next(end_at)
+
+        self.fleet.clock.call_later(self._rng.uniform(*_GAP_RANGE_S), apply)
+
+    def _apply_fault(self) -> None:
+        faults: tuple[Callable[[], str], ...] = (
+            self._kill_vm,
+            self._kill_vm,
+            self._kill_gatherers,
+            self._store_down,
+            self._store_slow,
+            self._store_restored,
+            self._store_drops_history,
+            self._store_loses_answers,
+            self._new_routes,
+            self._leaf_leaves,
+            self._leaf_joins,
+        )
+        name = self._rng.choice(faults)()
+        at = self.fleet.clock.monotonic() - self._started_at
+        self.applied.append(f"{at:6.2f} {name}")
+
+    def _kill(self, vm: memory_fleet.MemoryVm) -> None:
+        if vm.process is None:
+            return
+        vm.kill()
+        self.fleet.clock.call_later(
+            self._rng.uniform(*_RESTART_RANGE_S), vm.start
+        )
+
+    def _kill_vm(self) -> str:
+        vm = self._rng.choice(self.fleet.vms)
+        self._kill(vm)
+        return f"{vm.name} killed"
+
+    def _kill_gatherers(self) -> str:
+        for vm in self.fleet.vms[: SIZES.large]:
+            self._kill(vm)
+        return "all gatherers killed"
+
+    def _note_store_trouble(self, seconds: float) -> None:
+        now = self.fleet.clock.monotonic()
+        self._store_trouble.append((now, now + seconds))
+
+    def _store_down(self) -> str:
+        seconds = self._rng.uniform(*_OUTAGE_RANGE_S)
+        faults = self.fleet.model.faults
+        faults.down = True
+
+        def end() -> None:
+            faults.down = False
+
+        self.fleet.clock.call_later(seconds, end)
+        self._note_store_trouble(seconds)
+        return f"store down for {seconds:.1f} s"
+
+    def _store_slow(self) -> str:
+        seconds = self._rng.uniform(*_OUTAGE_RANGE_S)
+        faults = self.fleet.model.faults
+        faults.slow_s = _SLOW_ANSWER_S
+
+        def end() -> None:
+            faults.slow_s = 0.0
+
+        self.fleet.clock.call_later(seconds, end)
+        self._note_store_trouble(seconds)
+        return f"store slow for {seconds:.1f} s"
+
+    def _store_restored(self) -> str:
+        saved = self.fleet.model.copy()
+        age_s = self._rng.uniform(*_COPY_AGE_RANGE_S)
+        outage_s = self._rng.uniform(*_OUTAGE_RANGE_S)
+        self.fleet.clock.call_later(
+            age_s, self.fleet.restore_store, saved, outage_s
+        )
+        self._note_store_trouble(age_s + outage_s)
+        return f"store restored after {age_s:.1f} and {outage_s:.1f} s"
+
+    def _store_drops_history(self) -> str:
+        self.fleet.model.compact_history()
+        self._note_store_trouble(0.0)
+        return "store drops its history"
+
+    def _store_loses_answers(self) -> str:
+        self.fleet.model.faults.lose_answers += 2
+        self._note_store_trouble(0.0)
+        return "store loses two answers"
+
+    def _new_routes(self) -> str:
+        if self.fleet.model.faults.down:
+            return "no new routes: the store is down"
+        return f"routes {self.fleet.write_routes()}"
+
+    def _leaf_leaves(self) -> str:
+        if self.fleet.model.faults.down:
+            return "no leaf leaves: the store is down"
+        staying = collections.defaultdict(list)
+        for leaf_id, each in self.fleet.leaf_by_id.items():
+            if each.leaving_at is None:
+                staying[each.shard].append(leaf_id)
+        shard = self._rng.randrange(SIZES.shards)
+        if len(staying[shard]) <= _REPLICAS_MIN:
+            return "no leaf leaves: the shard has too few"
+        leaf_id = self._rng.choice(staying[shard])
+        self.fleet.drain_leaf(leaf_id, _LEAF_LEAVES_AFTER_S)
+        return f"leaf {leaf_id} leaves"
+
+    def _leaf_joins(self) -> str:
+        if self.fleet.model.faults.down:
+            return "no leaf joins: the store is down"
+        self._next_replica += 1
+        shard = self._rng.randrange(SIZES.shards)
+        return f"leaf {self.fleet.add_leaf(shard, self._next_replica)} joins"
+
+    def _violations(
+        self, answers: list[memory_fleet.FleetAnswer]
+    ) -> Iterator[str]:
+        yield from self._check_routes_never_go_back()
+        yield from self._check_leaving_leaves()
+        whole = sum(each.whole for each in answers)
+        if whole < _WHOLE_MIN * len(answers):
+            yield f"{whole} of {len(answers)} answers are whole in the end"
+        newest = self.fleet.version
+        for vm in self.fleet.vms:
+            if vm.process is None:
+                yield f"{vm.name} does not run"
+            elif vm.process.version != newest:
+                yield f"{vm.name} has routes {vm.process.version}, not {newest}"
+        yield from self._check_gatherers()
+
+    def _check_gatherers(self) -> Iterator[str]:
+        """Check that all gatherers are registered and know the live leaves."""
+        live = sum(
+            each.leaving_at is None for each in self.fleet.leaf_by_id.values()
+        )
+        registered = set(self.fleet.model.items(fleet.VM_KEY_PREFIX))
+        for vm in self.fleet.vms[: SIZES.large]:
+            if fleet.VM_KEY_PREFIX + vm.name not in registered:
+                yield f"{vm.name} is not registered"
+            if vm.process is None:
+                continue
+            known = vm.process.gauges["leafs_known"]()
+            if known != live:
+                yield f"{vm.name} knows {known:g} leaves, {live} live"
+
+    def _check_routes_never_go_back(self) -> Iterator[str]:
+        version_by_process: dict[tuple[str, int], int] = {}
+        for event, fields in self._log.rows:
+            if event is not base.Event.CONFIG_IN_FORCE:
+                continue
+            process = (fields["vm"], fields["start"])
+            if fields["version"] <= version_by_process.get(process, 0):
+                yield f"{process[0]} went back to routes {fields['version']}"
+            version_by_process[process] = fields["version"]
+
+    def _check_leaving_leaves(self) -> Iterator[str]:
+        for leaf_id, each in self.fleet.leaf_by_id.items():
+            left_at = each.leaving_at
+            if left_at is None or self._was_unstable(left_at):
+                continue
+            late_s = each.leaf.last_request_at - left_at
+            if late_s > _DRAIN_S:
+                yield f"leaf {leaf_id} got a request {late_s:.1f} s after"
+
+    def _was_unstable(self, left_at: float) -> bool:
+        """Return whether the store was not stable when a leaf announced."""
+        return any(
+            start < left_at + _DRAIN_S and end > left_at - _STABLE_S
+            for start, end in self._store_trouble
+        )
+
+
+def run_seed(seed: int) -> tuple[list[str], list[str]]:
+    """Run one seed; return what was violated, and the faults applied."""
+    with tempfile.TemporaryDirectory() as directory:
+        fuzz = FleetFuzz(directory=pathlib.Path(directory), seed=seed)
+        return fuzz.run(), fuzz.applied
--- a/lab/main.py
+++ b/lab/main.py
@@ -5,6 +5,7 @@
     bin/lab report SCENARIO FILE DIR
     bin/lab fleet [--large N] [--small N] [--zones N] [--shards N] [--rate R]
                   [--seconds S] [--seed N]
+    bin/lab fuzz [--first SEED] [--count N] [--jobs N]
     bin/lab compare BEFORE AFTER
 
 ``run`` plays each policy of a scenario with each seed, ``ablate`` plays the
@@ -13,6 +14,8 @@
 JSON files by policy and seed. Differences come with a standard error; one
 within two standard errors is no finding. ``fleet`` plays a whole fleet with its
 store: a calm phase, the loss of all VMs, and a store that comes back older.
+``fuzz`` plays random faults on a small fleet and prints what was violated; its
+exit status is then 1.
 """
 
 import argparse
@@ -24,12 +27,13 @@
 
 import orjson
 
-from lab import fleet, results, world
+from lab import fleet, fuzz, results, world
 from lab import scenario as scenarios
 from standins import memory_fleet
 from trefoilpier import forward, replicas
 
 _JOBS_DEFAULT = 4
+_EXIT_VIOLATED = 1
 _EXIT_INVALID = 2
 
 
@@ -172,6 +176,21 @@
     return 0
 
 
+def _fuzz_command(args: argparse.Namespace) -> int:
+    seeds = range(args.first, args.first + args.count)
+    violated = 0
+    with multiprocessing.Pool(args.jobs) as pool:
+        for seed, (violations, faults) in zip(
+            seeds, pool.imap(fuzz.run_seed, seeds), strict=True
+        ):
+            violated += bool(violations)
+            print(f"seed {seed}: {len(faults)} faults", flush=True)
+            if violations:
+                print("\n".join([*faults, *violations]), flush=True)
+    print(f"{violated} of {args.count} seeds violated a guarantee")
+    return _EXIT_VIOLATED if violated else 0
+
+
 def _read_rows(path: pathlib.Path) -> list[results.RunFigures] | None:
     try:
         return results.from_json(orjson.loads(path.read_bytes()))
@@ -219,6 +238,11 @@
     command.add_argument("--seconds", type=float, default=10.0)
     command.add_argument("--seed", type=int, default=1)
     command.set_defaults(call=_fleet_command)
+    command = commands.add_parser("fuzz")
+    command.add_argument("--first", type=int, default=1)
+    command.add_argument("--count", type=int, default=10)
+    command.add_argument("--jobs", type=int, default=_JOBS_DEFAULT)
+    command.set_defaults(call=_fuzz_command)
     command = commands.add_parser("report")
     command.add_argument("scenario", type=pathlib.Path)
     command.add_argument("results", type=pathlib.Path)
--- /dev/null
+++ b/lab/tests/test_fuzz.py
@@ -0,0 +1,25 @@
+"""Short runs with random faults, and a planted fault that they must find."""
+
+import pytest
+
+from lab import fuzz
+from standins import platform_model
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_random_faults_violate_nothing(seed):
+    violations, faults = fuzz.run_seed(seed)
+    assert len(faults) >= 8
+    assert violations == []
+
+
+def test_same_seed_has_the_same_faults():
+    assert fuzz.run_seed(4) == fuzz.run_seed(4)
+
+
+def test_lost_registrations_are_found(monkeypatch):
+    monkeypatch.setattr(
+        platform_model.PlatformModel, "renew_lease", lambda self, lease: True
+    )
+    violations = [fuzz.run_seed(seed)[0] for seed in (1, 2, 3)]
+    assert any("not registered" in each for each in sum(violations, []))
--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -139,6 +139,20 @@
         self.transport.abortConnection()
 
 
+class _ProcessLog(base.EventLog):
+    """Log of one process: adds the VM's name and the number of its start."""
+
+    __slots__ = ("_log", "_start", "_vm")
+
+    def __init__(self, *, log: base.EventLog, vm: str, start: int) -> None:
+        self._log = log
+        self._vm = vm
+        self._start = start
+
+    def emit(self, event: base.Event, **fields: Any) -> None:
+        self._log.emit(event, vm=self._vm, start=self._start, **fields)
+
+
 class MemoryVm:
     """One VM, whose process can be killed and started.
 
@@ -214,7 +228,7 @@
         self.process = tier_vm.TierVm(
             boot=platform_adapter.read_boot(str(self._settings)).ok,
             clock=self._life_clock,
-            log=self._log,
+            log=_ProcessLog(log=self._log, vm=self.name, start=self.starts),
             reactor=self._life_net,
             on_limits=lambda limits: None,
             policy=forward.ForwardPolicy(),
@@ -243,7 +257,10 @@
         self.process.start(record)
 
     def kill(self) -> None:
-        """End the process at once, with its timers and connections."""
+        """End the process at once, with its timers and connections.
+
+        Without a process nothing happens.
+        """
         self.process = None
         self._life_clock.ended = True
         for port, server in self._servers.items():
@@ -276,19 +293,50 @@
         return self.status == 200 and not self.missing
 
 
+@dataclass(slots=True, kw_only=True)
+class FleetLeaf:
+    """A leaf and what its entry in the store says.
+
+    Attributes:
+        leaf: The leaf.
+        shard: Number of its shard.
+        address: Its address.
+        zone: Its availability zone.
+        leaving_at: Monotonic time at which it announced that it leaves, or
+            None.
+    """
+
+    leaf: opaque_leaf.OpaqueLeaf
+    shard: int
+    address: str
+    zone: str
+    leaving_at: float | None = None
+
+    def entry_value(self) -> str:
+        """Return the value of its entry."""
+        return published_protocol.leaf_value(
+            service=f"shard{self.shard}",
+            address=self.address,
+            zone=self.zone,
+            slots=self.leaf.slots,
+            leaving=self.leaving_at is not None,
+        )
+
+
 class MemoryFleet:
     """VMs of two sizes, leaves and store.
 
     Attributes:
         answers: Answers to callers, in the order of their arrival.
         clock: The virtual clock.
+        leaf_by_id: All leaves so far, also those that have left.
         log: Events of all VMs.
         model: The store.
         vms: The VMs, large ones first.
     """
 
     __slots__ = (
-        "_leaf_value_by_id",
+        "_gone_leaf_ids",
         "_net",
         "_next_request",
         "_rng",
@@ -296,6 +344,7 @@
         "_version",
         "answers",
         "clock",
+        "leaf_by_id",
         "log",
         "model",
         "vms",
@@ -330,7 +379,8 @@
             *STORE_ADDRESS, httpd.HttpFactory(handle=server.handle)
         )
         self.answers: list[FleetAnswer] = []
-        self._leaf_value_by_id: dict[str, str] = {}
+        self.leaf_by_id: dict[str, FleetLeaf] = {}
+        self._gone_leaf_ids: set[str] = set()
         for shard in range(sizes.shards):
             for replica in range(_REPLICAS):
                 self.add_leaf(shard, replica)
@@ -341,8 +391,8 @@
         ]
         self._heartbeat()
 
-    def add_leaf(self, shard: int, replica: int) -> None:
-        """Start a leaf, which writes its entry at once."""
+    def add_leaf(self, shard: int, replica: int) -> str:
+        """Start a leaf, which writes its entry at once; return its id."""
         leaf = opaque_leaf.OpaqueLeaf(
             clock=self.clock,
             rng=random.Random(self._rng.random()),
@@ -351,17 +401,41 @@
         )
         host = f"10.2.{shard}.{replica}"
         self._net.listen(host, _LEAF_PORT, leaf.factory())
-        value = published_protocol.leaf_value(
-            service=f"shard{shard}",
+        self.leaf_by_id[leaf.id] = FleetLeaf(
+            leaf=leaf,
+            shard=shard,
             address=f"{host}:{_LEAF_PORT}",
             zone=f"z{(shard + replica) % self._sizes.zones}",
-            slots=leaf.slots,
-            leaving=False,
-        )
-        self._leaf_value_by_id[leaf.id] = value
-        self.model.put(
-            published_protocol.LEAF_PREFIX + leaf.id, value, None, ""
         )
+        self._write_entry(leaf.id)
+        return leaf.id
+
+    def _write_entry(self, leaf_id: str) -> None:
+        """Write a leaf's entry, unless the store has the same one."""
+        key = published_protocol.LEAF_PREFIX + leaf_id
+        value = self.leaf_by_id[leaf_id].entry_value()
+        if self.model.current_value(key).value != value:
+            self.model.put(key, value, None, "")
+
+    def drain_leaf(self, leaf_id: str, leave_after_s: float) -> None:
+        """Let a leaf announce that it leaves, and remove it later.
+
+        Args:
+            leaf_id: Id of the leaf.
+            leave_after_s: Seconds until its entry is removed.
+        """
+        self.leaf_by_id[leaf_id].leaving_at = self.clock.monotonic()
+        self._write_entry(leaf_id)
+        self.clock.call_later(leave_after_s, self._remove_leaf, leaf_id)
+
+    def _remove_leaf(self, leaf_id: str) -> None:
+        self._gone_leaf_ids.add(leaf_id)
+        self.model.delete(published_protocol.LEAF_PREFIX + leaf_id)
+
+    def _expire_gone_leaves(self) -> None:
+        """Delete the entries that a restored copy has of gone leaves."""
+        for leaf_id in sorted(self._gone_leaf_ids):
+            self.model.delete(published_protocol.LEAF_PREFIX + leaf_id)
 
     def _make_vm(self, index: int, directory: pathlib.Path) -> MemoryVm:
         large = index < self._sizes.large
@@ -378,6 +452,11 @@
             cores=2.0 if large else 0.5,
         )
 
+    @property
+    def version(self) -> int:
+        """Version of the newest routes."""
+        return self._version
+
     def write_routes(self) -> int:
         """Write a new version of the routes; return its number."""
         self._version += 1
@@ -399,11 +478,9 @@
     def _heartbeat(self) -> None:
         """Let leaves write the entries that the store does not have."""
         if not self.model.faults.down:
-            stored = self.model.keys(published_protocol.LEAF_PREFIX)
-            for leaf_id, value in self._leaf_value_by_id.items():
-                key = published_protocol.LEAF_PREFIX + leaf_id
-                if key not in stored:
-                    self.model.put(key, value, None, "")
+            for leaf_id in self.leaf_by_id:
+                if leaf_id not in self._gone_leaf_ids:
+                    self._write_entry(leaf_id)
         self.clock.call_later(_HEARTBEAT_S, self._heartbeat)
 
     def start_all(self) -> None:
@@ -422,7 +499,8 @@
     ) -> None:
         """Take the store down, and bring it back from a copy.
 
-        The operator and the leaves write again what the copy lacks.
+        The operator and the leaves write again what the copy lacks, and
+        entries of leaves that have gone expire.
         """
         self.model.faults.down = True
 
@@ -430,6 +508,7 @@
             self.model.faults.down = False
             self.model.restore(saved)
             self.clock.call_later(_HEARTBEAT_S, self._put_routes)
+            self.clock.call_later(_EXPIRY_S, self._expire_gone_leaves)
 
         self.clock.call_later(outage_s, bring_back)
 
