--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -17,18 +17,18 @@
 SIZES = memory_fleet.FleetSizes(large=3, small=5, zones=3, shards=4)
 _START_WAIT_S = 3.0
 _FAULTS_S = 14.0  # Time in which faults begin.
-_GAP_RANGE_S = (0.2, 1.2)
+_GAP_RANGE_S = (0.2, 1.2)  # Between two faults.
 _RESTART_RANGE_S = (0.3, 2.0)
 _OUTAGE_RANGE_S = (0.3, 3.0)
 _COPY_AGE_RANGE_S = (0.5, 4.0)
-_SLOW_ANSWER_S = 0.3
+_SLOW_ANSWER_S = 0.3  # Delay of each answer of a slow store.
 # Longer than the fleet may take to recover once all faults have ended.
 _QUIET_S = 12.0
-_RATE = 20.0
-_JUDGED_S = 3.0
-_WHOLE_MIN = 0.99
+_RATE = 20.0  # Requests a second.
+_JUDGED_S = 3.0  # Time after the quiet one in which answers are judged.
+_WHOLE_MIN = 0.99  # Share of these answers.
 _LEAF_LEAVES_AFTER_S = 5.0
-_REPLICAS_MIN = 2
+_REPLICAS_MIN = 2  # Leaves that a shard keeps.
 # A leaf gets no new requests this long after it announced that it leaves, if
 # the store has been stable around that.
 _DRAIN_S = 3.0
