--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -76,12 +76,11 @@
 
     def run(self) -> list[str]:
         """Run, and return what was violated."""
-        fleet_ = self.fleet
-        fleet_.start_all()
-        fleet_.clock.advance(_START_WAIT_S)
-        self._schedule_next(fleet_.clock.monotonic() + _FAULTS_S)
-        fleet_.run_load(seconds=_FAULTS_S + _QUIET_S, rate=_RATE)
-        answers = fleet_.run_load(seconds=_JUDGED_S, rate=_RATE)
+        self.fleet.start_all()
+        self.fleet.clock.advance(_START_WAIT_S)
+        self._schedule_next(self.fleet.clock.monotonic() + _FAULTS_S)
+        self.fleet.run_load(seconds=_FAULTS_S + _QUIET_S, rate=_RATE)
+        answers = self.fleet.run_load(seconds=_JUDGED_S, rate=_RATE)
         return list(self._violations(answers))
 
     def _schedule_next(self, end_at: float) -> None:
--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -58,7 +58,7 @@
     start_s: float = 0.4
 
 
-class _LifeClock(base.Clock):
+class _ProcessClock(base.Clock):
     """The fleet's clock for one process: its timers end with it."""
 
     __slots__ = ("_clock", "ended")
@@ -83,7 +83,7 @@
         return self._clock.call_later(delay, run)
 
 
-class _LifeNetwork:
+class _ProcessNetwork:
     """The fleet's network for one process: its connections end with it."""
 
     __slots__ = ("_factories", "_net")
@@ -165,8 +165,8 @@
 
     __slots__ = (
         "_clock",
-        "_life_clock",
-        "_life_net",
+        "_process_clock",
+        "_process_net",
         "_log",
         "_net",
         "_rng",
@@ -199,8 +199,8 @@
         self._settings = settings
         self._zone = zone
         self._servers: dict[int, http1.ServerFactory] = {}
-        self._life_clock = _LifeClock(clock=clock)
-        self._life_net = _LifeNetwork(net=net)
+        self._process_clock = _ProcessClock(clock=clock)
+        self._process_net = _ProcessNetwork(net=net)
         self.name = name
         self.host = host
         self.process: tier_vm.TierVm | None = None
@@ -223,13 +223,13 @@
     def start(self) -> None:
         """Start a process."""
         self.starts += 1
-        self._life_clock = _LifeClock(clock=self._clock)
-        self._life_net = _LifeNetwork(net=self._net)
+        self._process_clock = _ProcessClock(clock=self._clock)
+        self._process_net = _ProcessNetwork(net=self._net)
         self.process = tier_vm.TierVm(
             boot=platform_adapter.read_boot(str(self._settings)).ok,
-            clock=self._life_clock,
+            clock=self._process_clock,
             log=_ProcessLog(log=self._log, vm=self.name, start=self.starts),
-            reactor=self._life_net,
+            reactor=self._process_net,
             on_limits=lambda limits: None,
             policy=forward.ForwardPolicy(),
             rng=random.Random(self._rng.random()),
@@ -248,7 +248,7 @@
             handler_by_port[record.state_port] = self.process.state_handler
         for port, handler in handler_by_port.items():
             server = http1.ServerFactory(
-                clock=self._life_clock,
+                clock=self._process_clock,
                 handler=handler,
                 limits=http1.CallerLimits(),
             )
@@ -262,13 +262,13 @@
         Without a process nothing happens.
         """
         self.process = None
-        self._life_clock.ended = True
+        self._process_clock.ended = True
         for port, server in self._servers.items():
             self._net.stop_listening(self.host, port)
             for connection in list(server.connections):
                 connection.transport.abortConnection()
         self._servers.clear()
-        self._life_net.end()
+        self._process_net.end()
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
