--- a/trefoilpier/tier/tests/test_store_restore.py
+++ b/trefoilpier/tier/tests/test_store_restore.py
@@ -215,6 +215,19 @@
     assert harness.usable_leaves() == ["a", "b", "c"]
 
 
+def test_missing_leaf_stays_after_a_restore_without_a_noticed_outage(harness):
+    harness.start()
+    saved = harness.model.copy()
+    harness.put_leaf("c")
+    harness.clock.advance(1.0)
+    harness.model.restore(saved)
+    harness.client.read("op/config")
+    harness.clock.advance(LEAF_HEARTBEAT_S)
+    assert harness.usable_leaves() == ["a", "b", "c"]
+    harness.clock.advance(3.0)
+    assert harness.usable_leaves() == ["a", "b"]
+
+
 def test_leaf_that_left_does_not_return_with_the_copy(harness):
     harness.start()
     saved = harness.model.copy()
