LIMIT: send to a leaf no more than the limit that it names for all VMs

Callers saw nothing; a back end in need got up to 3.4 times the requests that the rule allows. Cause: no VM read the limit in a leaf's answers, so the load balancer compared costs only (hypothesis 1). A limit that each VM keeps by itself would not do either, since the rule sums over the VMs (hypothesis 2), and hedges and retries choose a leaf as first sends do (hypothesis 3: one place, LeafPool.start, sees all three).

LeafPool has capacity only at a send time; queued calls wait for the next one, the admission counts that wait, and a call that no leaf takes before its deadline ends at once.

--- a/standins/opaque_leaf.py
+++ b/standins/opaque_leaf.py
@@ -4,6 +4,7 @@
 are configurable.
 """
 
+import bisect
 import random
 from collections import deque
 from collections.abc import Callable
@@ -47,6 +48,21 @@
         return self.paused or self.stopped
 
 
+@dataclass(slots=True, kw_only=True)
+class RateLimit:
+    """A time in which a leaf names a limit in its responses.
+
+    Attributes:
+        rate: Requests a second that it takes from all VMs together.
+        start: Monotonic time from which it names the limit.
+        end: Monotonic time at which it stops; infinite until then.
+    """
+
+    rate: float
+    start: float
+    end: float = float("inf")
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class LeafResponse:
     """Record of one signed response of a leaf."""
@@ -63,11 +79,12 @@
         id: Instance id of the leaf.
         slots: Maximum number of requests that run concurrently.
         queue_max: Maximum number of queued requests.
+        rate_limits: The limits that it has named, in order.
         faults: Injected faults.
         runs: Ids of the requests that were started.
         refused: Ids of the requests that were rejected unprocessed.
         requests: All requests received.
-        last_request_at: Monotonic time of the last request.
+        request_times: Monotonic time of each request received.
         response_by_seal: Responses by signature.
     """
 
@@ -81,9 +98,10 @@
         "response_by_seal",
         "faults",
         "id",
-        "last_request_at",
         "queue_max",
+        "rate_limits",
         "refused",
+        "request_times",
         "requests",
         "runs",
         "slots",
@@ -124,12 +142,56 @@
         self.slots = slots
         self.queue_max = queue_max
         self.faults = LeafFaults()
+        self.rate_limits: list[RateLimit] = []
         self.runs: list[bytes] = []
         self.refused: list[bytes] = []
         self.requests: list[http1.HttpRequest] = []
-        self.last_request_at = 0.0
+        self.request_times: list[float] = []
         self.response_by_seal: dict[bytes, LeafResponse] = {}
 
+    @property
+    def last_request_at(self) -> float:
+        """Monotonic time of the last request; 0 if there was none."""
+        return self.request_times[-1] if self.request_times else 0.0
+
+    def max_requests_in(
+        self,
+        window_s: float,
+        *,
+        since: float,
+        until: float = float("inf"),
+    ) -> int:
+        """Return the largest number of requests in any window of a length.
+
+        Args:
+            window_s: Length of the window in seconds.
+            since: Monotonic time from which requests count.
+            until: Monotonic time up to which they count.
+        """
+        times = [time for time in self.request_times if since <= time <= until]
+        return max(
+            (
+                bisect.bisect_right(times, start + window_s) - index
+                for index, start in enumerate(times)
+            ),
+            default=0,
+        )
+
+    @property
+    def rate_limit(self) -> float | None:
+        """Requests a second that the leaf takes; None if it names no limit."""
+        if not self.rate_limits or self.rate_limits[-1].end < float("inf"):
+            return None
+        return self.rate_limits[-1].rate
+
+    def limit_rate(self, rate: float | None) -> None:
+        """Name a limit in all responses, or none any more."""
+        now = self._clock.monotonic()
+        if self.rate_limit is not None:
+            self.rate_limits[-1].end = now
+        if rate is not None:
+            self.rate_limits.append(RateLimit(rate=rate, start=now))
+
     def factory(self) -> http1.ServerFactory:
         """Return an HTTP server factory for this leaf."""
         return http1.ServerFactory(
@@ -139,7 +201,7 @@
     def handle(self, exchange: http1.Exchange) -> None:
         """Start, queue or reject a request."""
         self.requests.append(exchange.request)
-        self.last_request_at = self._clock.monotonic()
+        self.request_times.append(self._clock.monotonic())
         headers = exchange.request.headers
         expected = http1.find_header(headers, b"x-expect-instance")
         if expected is not None and expected != self.id.encode():
@@ -239,6 +301,9 @@
             (b"x-instance-id", self.id.encode()),
             (b"x-server-load", load.encode()),
         ]
+        if self.rate_limit is not None:
+            limit = f"{self.rate_limit:.1f}"
+            response.headers.append((b"server-limit", limit.encode()))
         exchange.respond(response)
 
     def rejected(self, status: int, reason: str) -> None:
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -115,6 +115,7 @@
         """
         chosen = self._choose_pool()
         if chosen is None:
+            self._await_send_times()
             return False
         self._leave_queue()
         self._send(chosen)
@@ -141,15 +142,25 @@
         if chosen is not None:
             self._send(chosen)
             return
-        if not self._has_other_usable_leaf():
+        wait_s = self._shortest_wait_s()
+        if wait_s is None:
             self._finish_failed(self._reason or "no leaf is usable")
             return
+        if self._env.clock.monotonic() + wait_s >= self._context.deadline:
+            self._finish_failed("no leaf takes a request before the deadline")
+            return
         self._queued = True
         self._env.queue_for(self._service).enqueue(
             self,
             priority=self._context.route.priority,
             objective_deadline=self._context.objective_deadline,
         )
+        self._await_send_times()
+
+    def _await_send_times(self) -> None:
+        """Arrange for another try once a limited leaf takes a request."""
+        for pool in self._pools():
+            pool.notify_when_sendable()
 
     def _send(self, pool: replicas.LeafPool) -> None:
         leaf_id = pool.entry.id
@@ -212,11 +223,23 @@
 
     def _has_other_usable_leaf(self) -> bool:
         """Return whether a leaf is usable that the call was not sent to."""
+        return self._shortest_wait_s() is not None
+
+    def _shortest_wait_s(self) -> float | None:
+        """Return how soon the limit of a usable leaf allows the call.
+
+        Returns:
+            Seconds, or None if no leaf is usable that it was not sent to.
+        """
         now = self._env.clock.monotonic()
-        return any(
-            pool.entry.id not in self._attempts.tried_leaf_ids
-            and not pool.stats.is_ejected(now)
-            for pool in self._pools()
+        return min(
+            (
+                pool.send_wait_s()
+                for pool in self._pools()
+                if pool.entry.id not in self._attempts.tried_leaf_ids
+                and not pool.stats.is_ejected(now)
+            ),
+            default=None,
         )
 
     def _has_attempts_left(self) -> bool:
@@ -265,6 +288,8 @@
     ) -> None:
         if answer.load is not None:
             pool.stats.record_load(answer.load, now)
+        if not answer.wrong_leaf:
+            self._env.registry.set_rate_limit(pool, answer.rate_limit)
         if answer.wrong_leaf:
             self._env.registry.remove_replaced(pool.entry.id)
             self._reason = "another leaf now uses the address"
--- a/trefoilpier/forward/service_state.py
+++ b/trefoilpier/forward/service_state.py
@@ -33,7 +33,8 @@
         if pool.stats.is_ejected(now):
             continue
         cost = pool.stats.expected_cost(now)
-        expected_s = queue_wait_s + cost * median_latency_s
+        wait_s = queue_wait_s + pool.send_wait_s()
+        expected_s = wait_s + cost * median_latency_s
         if lowest_s is None or expected_s < lowest_s:
             lowest_s = expected_s
         if expected_s <= time_left_s:
--- a/trefoilpier/forward/tests/test_service_state.py
+++ b/trefoilpier/forward/tests/test_service_state.py
@@ -11,9 +11,10 @@
 
 
 class LeafWithHistory:
-    """A leaf with some failures and late answers."""
+    """A leaf with some failures, late answers and a limit on its rate."""
 
-    def __init__(self, late, failures):
+    def __init__(self, late, failures, send_wait_s):
+        self.send_wait_s = lambda: send_wait_s
         self.stats = replicas.LeafStats(slots=2, warm_up_until=0.0)
         for _ in range(late):
             self.stats.record_success(now=NOW, relative_latency=6.0)
@@ -22,13 +23,13 @@
 
 
 def complete_state(pools):
-    costs = [
-        pool.stats.expected_cost(NOW)
+    expected = [
+        pool.send_wait_s() + pool.stats.expected_cost(NOW) * MEDIAN_S
         for pool in pools
         if not pool.stats.is_ejected(NOW)
     ]
     return admission.ServiceState(
-        usable=bool(costs), expected_s=min(costs, default=0.0) * MEDIAN_S
+        usable=bool(expected), expected_s=min(expected, default=0.0)
     )
 
 
@@ -37,7 +38,9 @@
     histories=strategies.lists(
         strategies.lists(
             strategies.tuples(
-                strategies.integers(0, 6), strategies.integers(0, 4)
+                strategies.integers(0, 6),
+                strategies.integers(0, 4),
+                strategies.sampled_from([0.0, 0.0, 0.01, 0.3]),
             ),
             max_size=3,
         ),
@@ -51,8 +54,7 @@
     histories, time_left_s, min_coverage
 ):
     shards = [
-        [LeafWithHistory(late, failures) for late, failures in shard]
-        for shard in histories
+        [LeafWithHistory(*history) for history in shard] for shard in histories
     ]
     estimated = tuple(
         service_state.estimate_service_state(
--- a/trefoilpier/forward/wire.py
+++ b/trefoilpier/forward/wire.py
@@ -30,6 +30,8 @@
         wrong_leaf: Whether a different leaf answered at the address.
         failed: Whether the request failed but may succeed at another leaf.
         load: Load reported by the leaf, if any.
+        rate_limit: Requests a second that the leaf takes from all VMs
+            together; None if it names no limit.
     """
 
     response: http1.HttpResponse
@@ -38,6 +40,7 @@
     wrong_leaf: bool
     failed: bool
     load: replicas.LeafLoad | None
+    rate_limit: float | None = None
 
     @property
     def successful(self) -> bool:
--- a/trefoilpier/platform/headers.py
+++ b/trefoilpier/platform/headers.py
@@ -1,6 +1,7 @@
 """The HTTP headers that the platform's callers and leaves use."""
 
 import functools
+import math
 
 from trefoilpier import forward, http1, replicas
 
@@ -9,6 +10,7 @@
 _EXPECTED_LEAF_HEADER = b"x-expect-instance"
 _SEAL_HEADER = b"x-server-seal"
 _LOAD_HEADER = b"x-server-load"
+_RATE_LIMIT_HEADER = b"server-limit"
 _NOT_EXECUTED_HEADER = b"x-not-executed"
 _PART_SEALS_HEADER = b"x-part-stamps"
 _MISSING_PARTS_HEADER = b"x-missing-parts"
@@ -20,7 +22,9 @@
     (_DEADLINE_HEADER, _EXPECTED_LEAF_HEADER, b"expect")
 )
 # Response headers from a leaf for the tier, not relayed to callers.
-_TIER_ONLY_HEADERS = frozenset((_LOAD_HEADER, _NOT_EXECUTED_HEADER))
+_TIER_ONLY_HEADERS = frozenset(
+    (_LOAD_HEADER, _NOT_EXECUTED_HEADER, _RATE_LIMIT_HEADER)
+)
 # Load reports are a few small numbers, so that most have been seen before.
 _LOAD_REPORTS_CACHED = 512
 _SEAL_FORBIDDEN_BYTES = frozenset(b' ,;\t"')
@@ -92,6 +96,7 @@
             wrong_leaf=wrong_leaf,
             failed=seal is None or response.status >= _MIN_SERVER_ERROR_STATUS,
             load=_parse_load(value_by_name.get(_LOAD_HEADER)),
+            rate_limit=_parse_number(value_by_name.get(_RATE_LIMIT_HEADER)),
         )
 
     def relay(self, answer: forward.LeafAnswer) -> http1.HttpResponse:
@@ -118,6 +123,21 @@
         return http1.HttpResponse(status=200, headers=headers, body=body)
 
 
+def _parse_number(value: bytes | None) -> float | None:
+    """Return a number that is not negative, or None if it is malformed.
+
+    >>> _parse_number(b"12.5"), _parse_number(b"nan"), _parse_number(b"-1")
+    (12.5, None, None)
+    """
+    if value is None:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
 @functools.lru_cache(maxsize=_LOAD_REPORTS_CACHED)
 def _parse_load(value: bytes | None) -> replicas.LeafLoad | None:
     """Parse a load report, or return None if it is malformed.
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -10,7 +10,7 @@
 from trefoilpier import base, http1
 from trefoilpier.replicas import entry as entries
 from trefoilpier.replicas import policy as policies
-from trefoilpier.replicas import state
+from trefoilpier.replicas import rate_limit, state
 
 # A leaf accepts a connection only when a slot is free for its handshake.
 _CONNECT_TIMEOUT_S = 0.4
@@ -136,6 +136,7 @@
         stats: Latency, failures and load of the leaf.
         connections_max: This VM's share of the leaf's connections.
         leaving: Whether the leaf gets no new requests.
+        vm_count: VMs that share the leaf's limit on the rate of requests.
     """
 
     __slots__ = (
@@ -147,13 +148,16 @@
         "_next_warm_up_at",
         "_on_capacity",
         "_opening_count",
+        "_pacer",
         "_reactor",
         "_reuse_policy",
+        "_send_timer",
         "_waiting_calls",
         "connections_max",
         "entry",
         "leaving",
         "stats",
+        "vm_count",
     )
 
     def __init__(
@@ -161,6 +165,8 @@
         *,
         entry: entries.LeafEntry,
         connections_max: int,
+        vm_count: int,
+        send_phase: float,
         clock: base.Clock,
         reactor: Any,
         id_header: bytes,
@@ -168,10 +174,27 @@
         reuse: ReusePolicy | None = None,
         policy: policies.LeafPolicy | None = None,
     ) -> None:
+        """Create a pool without connections.
+
+        Args:
+            entry: Registry entry of the leaf.
+            connections_max: This VM's share of the leaf's connections.
+            vm_count: VMs that share the leaf's limit on the rate of requests.
+            send_phase: Phase of this VM among them, from 0 to 1.
+            clock: Clock of the calls.
+            reactor: Reactor that opens connections.
+            id_header: Name of the header in which the leaf echoes an id.
+            on_capacity: Called when a call may have become possible.
+            reuse: Limits on the reuse of idle connections.
+            policy: Settings of the leaf's statistics.
+        """
         self._reuse_policy = reuse or ReusePolicy()
         self.entry = entry
         self.connections_max = connections_max
         self.leaving = False
+        self.vm_count = vm_count
+        self._pacer = rate_limit.RequestPacer(phase=send_phase)
+        self._send_timer: base.Timer | None = None
         now = clock.monotonic()
         self.stats = state.LeafStats(
             slots=entry.slots,
@@ -196,7 +219,7 @@
 
     def has_capacity(self) -> bool:
         """Return whether a call can start on an idle or a new connection."""
-        if self.leaving:
+        if self.leaving or self.send_wait_s() > 0.0:
             return False
         if len(self._idle) > len(self._waiting_calls):
             return True
@@ -205,6 +228,51 @@
             return True
         return len(self._waiting_calls) < self._opening_count and not self._idle
 
+    @property
+    def rate_limit(self) -> float | None:
+        """Requests a second that the leaf takes from all VMs together."""
+        return self._pacer.rate
+
+    def set_rate_limit(self, rate: float | None) -> None:
+        """Set the limit that the leaf names, or lift it with None.
+
+        Args:
+            rate: Requests a second that the leaf takes from all VMs together.
+        """
+        if rate == self._pacer.rate:
+            return
+        self._pacer.set_rate(
+            rate, vm_count=self.vm_count, now=self._clock.monotonic()
+        )
+        if rate is None:
+            self._on_capacity(self)
+
+    def set_vm_count(self, vm_count: int) -> None:
+        """Set the number of VMs that share the leaf's limit."""
+        self.vm_count = vm_count
+        self._pacer.set_rate(
+            self._pacer.rate, vm_count=vm_count, now=self._clock.monotonic()
+        )
+
+    def send_wait_s(self) -> float:
+        """Return the seconds until the leaf's limit allows a request."""
+        if self._pacer.rate is None:
+            return 0.0
+        return self._pacer.wait_s(self._clock.monotonic())
+
+    def notify_when_sendable(self) -> None:
+        """Report capacity once the leaf's limit allows a request."""
+        wait_s = self.send_wait_s()
+        if wait_s > 0.0 and self._send_timer is None and not self.leaving:
+            self._send_timer = self._clock.call_later(
+                wait_s, self._handle_send_time
+            )
+
+    def _handle_send_time(self) -> None:
+        self._send_timer = None
+        if not self.leaving:
+            self._on_capacity(self)
+
     def has_overdue_call(self, now: float) -> bool:
         """Return whether a call has been in flight unusually long."""
         for call in self._calls:
@@ -226,6 +294,7 @@
     def start(self, call: LeafCall) -> None:
         """Start a call; `has_capacity` must be true."""
         call.started_at = self._clock.monotonic()
+        self._pacer.record_send(call.started_at)
         self._calls.add(call)
         self.stats.in_flight += 1
         connection = self._take_idle(call)
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -21,8 +21,9 @@
 # So many entries disappear at once only if they expired during an outage.
 _MASS_EXPIRY_COUNT = 4
 _MASS_EXPIRY_SHARE = 0.25
-# VMs assumed to share a leaf's connections until the fleet's size is known.
+# VMs assumed to share a leaf until the fleet's size is known.
 _ASSUMED_VM_COUNT = 12
+_PHASE_STEPS = 1024  # Resolution of a VM's phase among its fleet.
 _REPLACED_VM_COUNT = 2  # VMs that may be replaced at the same time.
 
 
@@ -48,6 +49,7 @@
         "_reactor",
         "_reuse_policy",
         "_vm_count",
+        "_vm_id",
         "generation",
         "pool_by_id",
         "pools_by_service",
@@ -61,9 +63,24 @@
         reactor: Any,
         id_header: bytes,
         on_capacity: Callable[[pool.LeafPool], None],
+        vm_id: str = "",
         reuse: pool.ReusePolicy | None = None,
         policy: policies.LeafPolicy | None = None,
     ) -> None:
+        """Create a registry without leaves.
+
+        Args:
+            clock: Source of time and timers.
+            log: Log of events.
+            reactor: Reactor that opens connections.
+            id_header: Name of the header in which leaves echo a request's id.
+            on_capacity: Called when a leaf may have become free for a call.
+            vm_id: Name of this VM, which spreads the VMs' requests to leaves
+                that limit their rate.
+            reuse: Limits on the reuse of idle connections.
+            policy: Settings of the leaves' statistics.
+        """
+        self._vm_id = vm_id
         self._reuse_policy = reuse
         self._policy = policy
         self._clock = clock
@@ -90,16 +107,17 @@
 
     def set_vm_count(self, count: int) -> None:
         """Set the number of VMs that share each leaf's connections."""
-        # Reserves connections for VMs that are being replaced.
-        self._vm_count = count + _REPLACED_VM_COUNT
+        self._vm_count = count
         for leaf_pool in self.pool_by_id.values():
             leaf_pool.connections_max = self._connections_per_vm(
                 leaf_pool.entry.service
             )
+            leaf_pool.set_vm_count(count)
 
     def _connections_per_vm(self, service: str) -> int:
         limit = self._connections_max_by_service.get(service, _ASSUMED_VM_COUNT)
-        return max(1, limit // self._vm_count)
+        # Reserves connections for VMs that are being replaced.
+        return max(1, limit // (self._vm_count + _REPLACED_VM_COUNT))
 
     def handle_store_loss(self) -> None:
         """Handle the loss of the store."""
@@ -224,6 +242,8 @@
         added = pool.LeafPool(
             entry=entry,
             connections_max=self._connections_per_vm(entry.service),
+            vm_count=self._vm_count,
+            send_phase=self._send_phase(entry.id),
             clock=self._clock,
             reactor=self._reactor,
             id_header=self._id_header,
@@ -242,6 +262,11 @@
         )
         self._on_capacity(added)
 
+    def _send_phase(self, leaf_id: str) -> float:
+        """Return this VM's phase among the VMs that send to a leaf."""
+        hashed = base.stable_hash(f"{self._vm_id}/{leaf_id}")
+        return (hashed % _PHASE_STEPS) / _PHASE_STEPS
+
     def _remove(self, leaf_id: str, reason: str) -> None:
         removed = self.pool_by_id.pop(leaf_id, None)
         if removed is None:
@@ -262,6 +287,25 @@
         if removed in pools:
             pools.remove(removed)
 
+    def set_rate_limit(
+        self, limited: pool.LeafPool, rate: float | None
+    ) -> None:
+        """Apply the limit that a leaf names, or lift it with None.
+
+        Args:
+            limited: Pool of the leaf.
+            rate: Requests a second that it takes from all VMs together.
+        """
+        previous = limited.rate_limit
+        limited.set_rate_limit(rate)
+        if (previous is None) != (rate is None):
+            self._log.emit(
+                base.Event.LEAF_RATE_LIMIT,
+                leaf=limited.entry.id,
+                service=limited.entry.service,
+                rate=rate,
+            )
+
     def remove_replaced(self, leaf_id: str) -> None:
         """Remove a leaf whose address is now used by another leaf."""
         self._remove(leaf_id, "another leaf now uses the address")
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -169,6 +169,7 @@
             reactor=self._reactor,
             id_header=wire.id_header,
             on_capacity=engine.start_queued_calls,
+            vm_id=self._boot.node_id,
             reuse=reuse,
             policy=self._policy.leaves,
         )
