--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterator
 
 from lab import event_rows
-from standins import memory_fleet
+from standins import leaf_rules, memory_fleet
 from trefoilpier import base, fleet
 
 SIZES = memory_fleet.FleetSizes(large=3, small=5, zones=3, shards=4)
@@ -29,6 +29,8 @@
 _WHOLE_MIN = 0.99  # Share of these answers.
 _LEAF_LEAVES_AFTER_S = 5.0
 _REPLICAS_MIN = 2  # Leaves that a shard keeps.
+_RATE_LIMIT_RANGE = (1.0, 8.0)  # Requests a second that a leaf names.
+_LIMIT_RANGE_S = (5.0, 9.0)  # Time for which it names them.
 # A leaf gets no new requests this long after it announced that it leaves, if
 # the store has been stable around that.
 _DRAIN_S = 3.0
@@ -48,6 +50,7 @@
         "_next_replica",
         "_rng",
         "_started_at",
+        "_starts",
         "_store_trouble",
         "applied",
         "fleet",
@@ -72,6 +75,7 @@
         self._started_at = self.fleet.clock.monotonic()
         # Start and end of each time in which the store was not stable.
         self._store_trouble: list[tuple[float, float]] = []
+        self._starts: list[float] = []  # Times at which VMs were started.
         self.applied: list[str] = []
 
     def run(self) -> list[str]:
@@ -104,6 +108,7 @@
             self._new_routes,
             self._leaf_leaves,
             self._leaf_joins,
+            self._leaf_limits_rate,
         )
         name = self._rng.choice(faults)()
         at = self.fleet.clock.monotonic() - self._started_at
@@ -113,9 +118,9 @@
         if vm.process is None:
             return
         vm.kill()
-        self.fleet.clock.call_later(
-            self._rng.uniform(*_RESTART_RANGE_S), vm.start
-        )
+        delay_s = self._rng.uniform(*_RESTART_RANGE_S)
+        self._starts.append(self.fleet.clock.monotonic() + delay_s)
+        self.fleet.clock.call_later(delay_s, vm.start)
 
     def _kill_vm(self) -> str:
         vm = self._rng.choice(self.fleet.vms)
@@ -201,11 +206,30 @@
         shard = self._rng.randrange(SIZES.shards)
         return f"leaf {self.fleet.add_leaf(shard, self._next_replica)} joins"
 
+    def _leaf_limits_rate(self) -> str:
+        limited = [
+            each
+            for each in self.fleet.leaf_by_id.values()
+            if each.leaf.rate_limit is None and each.leaving_at is None
+        ]
+        if not limited:
+            return "no leaf limits its rate: all do"
+        leaf = self._rng.choice(limited).leaf
+        rate = round(self._rng.uniform(*_RATE_LIMIT_RANGE), 1)
+        seconds = self._rng.uniform(*_LIMIT_RANGE_S)
+        leaf.limit_rate(rate)
+        self.fleet.clock.call_later(seconds, leaf.limit_rate, None)
+        return f"leaf {leaf.id} limits its rate to {rate} for {seconds:.1f} s"
+
     def _violations(
         self, answers: list[memory_fleet.FleetAnswer]
     ) -> Iterator[str]:
         yield from self._check_routes_never_go_back()
         yield from self._check_leaving_leaves()
+        for each in self.fleet.leaf_by_id.values():
+            yield from leaf_rules.rate_limit_violations(
+                each.leaf, vm_starts=self._starts
+            )
         whole = sum(each.whole for each in answers)
         if whole < _WHOLE_MIN * len(answers):
             yield f"{whole} of {len(answers)} answers are whole in the end"
--- a/lab/tests/test_fleet_fuzz.py
+++ b/lab/tests/test_fleet_fuzz.py
@@ -4,6 +4,7 @@
 
 from lab import fuzz
 from standins import platform_model
+from trefoilpier.replicas import rate_limit
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -17,6 +18,12 @@
     assert fuzz.run_seed(4) == fuzz.run_seed(4)
 
 
+def test_ignored_rate_limits_are_found(monkeypatch):
+    monkeypatch.setattr(rate_limit.RequestPacer, "wait_s", lambda *args: 0.0)
+    violations = [fuzz.run_seed(seed)[0] for seed in range(1, 6)]
+    assert any("at a limit of" in each for each in sum(violations, []))
+
+
 def test_lost_registrations_are_found(monkeypatch):
     monkeypatch.setattr(
         platform_model.PlatformModel, "renew_lease", lambda self, lease: True
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Sequence
 
 from soak import callers, faults
-from standins import opaque_leaf, published_protocol, tier_world
+from standins import leaf_rules, opaque_leaf, published_protocol, tier_world
 
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _RECORD_BYTES = 16
@@ -29,6 +29,7 @@
     violations += _check_runs(environment, requests)
     violations += _check_answers(environment, requests)
     violations += _check_leaving(environment, applied)
+    violations += _check_rate_limits(environment, applied)
     violations += _check_planned_stops(environment, requests, applied)
     violations += _check_route_updates(environment, requests, applied)
     violations += _check_recovery(requests, recovered_at)
@@ -163,6 +164,23 @@
             )
 
 
+def _check_rate_limits(
+    environment: tier_world.TierEnvironment,
+    applied: Sequence[faults.AppliedFault],
+) -> Iterable[str]:
+    """Check that leaves which limit their rate get no more requests."""
+    vm_starts: list[float] = []
+    for fault in applied:
+        if fault.name.startswith("vm-"):
+            vm_starts.append(fault.started_at)
+        elif fault.name.startswith("all VMs"):
+            vm_starts += [fault.started_at] * len(environment.vms)
+    for leaf_instance in environment.leaf_by_id.values():
+        yield from leaf_rules.rate_limit_violations(
+            leaf_instance.leaf, vm_starts=vm_starts
+        )
+
+
 def _was_disrupted(
     applied: Sequence[faults.AppliedFault], start: float, end: float
 ) -> bool:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,9 @@
 _RESTORE_OUTAGE_S = 0.6
 _GAP_RANGE_S = (0.3, 2.0)
 _DURATION_RANGE_S = (0.5, 4.0)
+# A limit counts only some seconds after the leaf has named it.
+_RATE_LIMIT_DURATION_S = 8.0
+_RATE_LIMIT_RANGE = (0.5, 3.0)  # Requests a second that a leaf names.
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -90,6 +93,7 @@
         for world_leaf in self._environment.leaf_by_id.values():
             world_leaf.link.fault = link_proxy.LinkFault.NONE
             world_leaf.leaf.faults = opaque_leaf.LeafFaults()
+            world_leaf.leaf.limit_rate(None)
             world_leaf.leaf.resume()
 
     def _apply_next(self) -> None:
@@ -110,6 +114,7 @@
             self._set_leaf_faults,
             self._set_leaf_faults,
             self._drain_leaf,
+            self._limit_leaf_rate,
             self._reshard,
             self._pause_shard,
         )
@@ -250,6 +255,13 @@
         self._environment.drain(leaf_instance)
         return f"{leaf_instance.leaf.id} drains"
 
+    def _limit_leaf_rate(self, seconds: float) -> str:
+        leaf = self._rng.choice(self._environment.live_leaves).leaf
+        rate = round(self._rng.uniform(*_RATE_LIMIT_RANGE), 1)
+        leaf.limit_rate(rate)
+        self._end_after(_RATE_LIMIT_DURATION_S, lambda: leaf.limit_rate(None))
+        return f"{leaf.id} limits its rate to {rate}"
+
     def _reshard(self, seconds: float) -> str:
         self._environment.reshard()
         return f"version {self._environment.version}"
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -5,13 +5,15 @@
 import pytest
 
 from soak import callers, checks, faults
-from standins import opaque_leaf
+from standins import leaf_rules, opaque_leaf
+from trefoilpier import base
 
 
 def make_leaf(service, **answers):
     leaf = types.SimpleNamespace(
         id="leaf",
         last_request_at=0.0,
+        rate_limits=(),
         runs=[answer.request_id for answer in answers.values()],
         response_by_seal={k.encode(): v for k, v in answers.items()},
     )
@@ -225,3 +227,15 @@
         name="store down", started_at=-4.0, duration_s=1.0
     )
     assert not matching_lines(-5.0, down)
+
+
+@pytest.mark.parametrize(("gap_s", "found"), [(0.1, True), (0.2, False)])
+def test_requests_beyond_a_leafs_rate_limit_are_found(gap_s, found):
+    clock = base.VirtualClock(start=10.0)
+    leaf = opaque_leaf.OpaqueLeaf(clock=clock, rng=None, leaf_id="a")
+    leaf.limit_rate(3.0)
+    leaf.request_times = [10.0 + gap_s * k for k in range(100)]
+    assert bool(list(leaf_rules.rate_limit_violations(leaf))) is found
+    # A VM that starts is told only by the leaf's first answer.
+    starts = [12.0] * 5
+    assert not list(leaf_rules.rate_limit_violations(leaf, vm_starts=starts))
