RECOVER: a connection ends the ejection for failures to connect

A failure to connect is disproved by a connection, so LeafStats now ends an ejection that such failures caused when one opens. Ejections for failed requests stay. The stand-in fleet can cut a VM off from all leaves.

--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -4,13 +4,15 @@
 started, and the store can fail or come back from an older copy.
 """
 
+import enum
 import pathlib
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet import protocol
+from twisted.internet import error, protocol
+from twisted.python import failure
 
 from standins import (
     httpd,
@@ -29,6 +31,9 @@
 CALLER_PORT = 80
 _FIRST_INTERNAL_PORT = 90
 _LEAF_PORT = 8000
+_LEAF_NETWORK = "10.2."  # First part of the leaves' addresses.
+_REFUSAL_DELAY_S = 0.001
+_USER_TIMEOUT_S = 1.5  # Until a silent connection with sent data is reset.
 _HEARTBEAT_S = 1.2
 _EXPIRY_S = 3 * _HEARTBEAT_S
 _REPLICAS = 3
@@ -83,23 +88,69 @@
         return self._clock.call_later(delay, run)
 
 
+class LeafCut(enum.Enum):
+    """How a VM is cut off from all leaves.
+
+    SILENT loses all packets, RESET resets all connections and refuses new
+    ones, REFUSE refuses new ones only.
+    """
+
+    SILENT = enum.auto()
+    RESET = enum.auto()
+    REFUSE = enum.auto()
+
+
 class _ProcessNetwork:
     """The fleet's network for one process: its connections end with it."""
 
-    __slots__ = ("_factories", "_net")
+    __slots__ = ("_clock", "_cut", "_factories", "_net")
 
-    def __init__(self, *, net: memory_net.MemoryReactor) -> None:
+    def __init__(
+        self, *, clock: base.Clock, net: memory_net.MemoryReactor
+    ) -> None:
+        self._clock = clock
         self._net = net
+        self._cut: LeafCut | None = None
         self._factories: list[_RecordingFactory] = []
 
     def connectTCP(  # noqa: N802
         self, host: str, port: int, factory: Any, timeout: float = 30.0
     ) -> None:
         """Connect to an address."""
-        recording = _RecordingFactory(wrapped=factory)
+        recording = _RecordingFactory(wrapped=factory, host=host)
+        if self._cut is not None and recording.is_to_leaf:
+            silent = self._cut is LeafCut.SILENT
+            problem = (
+                error.TimeoutError()
+                if silent
+                else error.ConnectionRefusedError()
+            )
+            self._clock.call_later(
+                timeout if silent else _REFUSAL_DELAY_S,
+                recording.clientConnectionFailed,
+                None,
+                failure.Failure(problem),
+            )
+            return
         self._factories.append(recording)
         self._net.connectTCP(host, port, recording, timeout)
 
+    def cut_from_leaves(self, cut: LeafCut | None) -> None:
+        """Cut the process off from all leaves, or end that with None.
+
+        Silent connections are reset by the user timeout of TCP, in a cut or
+        after it.
+        """
+        self._cut = cut
+        for factory in self._factories:
+            if not factory.is_to_leaf:
+                continue
+            if cut is LeafCut.SILENT:
+                factory.silence()
+                self._clock.call_later(_USER_TIMEOUT_S, factory.reset)
+            elif cut is LeafCut.RESET:
+                factory.reset()
+
     def end(self) -> None:
         """Reset all connections; those being opened fail silently."""
         for factory in self._factories:
@@ -111,8 +162,9 @@
 
     noisy = False
 
-    def __init__(self, *, wrapped: Any) -> None:
+    def __init__(self, *, wrapped: Any, host: str) -> None:
         self._wrapped = wrapped
+        self.is_to_leaf = host.startswith(_LEAF_NETWORK)
         self._ended = False
         self._protocol: Any = None
 
@@ -128,9 +180,17 @@
 
     def end(self) -> None:
         self._ended = True
+        self.reset()
+
+    def reset(self) -> None:
         if self._protocol is not None:
             self._protocol.transport.abortConnection()
 
+    def silence(self) -> None:
+        if self._protocol is not None:
+            transport = self._protocol.transport
+            transport.silent = transport.peer.silent = True
+
 
 class _ResettingProtocol(protocol.Protocol):
     """Resets a connection that opens after its process has ended."""
@@ -165,6 +225,7 @@
 
     __slots__ = (
         "_clock",
+        "_leaf_cut",
         "_process_clock",
         "_process_net",
         "_log",
@@ -200,7 +261,8 @@
         self._zone = zone
         self._servers: dict[int, http1.ServerFactory] = {}
         self._process_clock = _ProcessClock(clock=clock)
-        self._process_net = _ProcessNetwork(net=net)
+        self._process_net = _ProcessNetwork(clock=clock, net=net)
+        self._leaf_cut: LeafCut | None = None
         self.name = name
         self.host = host
         self.process: tier_vm.TierVm | None = None
@@ -224,7 +286,10 @@
         """Start a process."""
         self.starts += 1
         self._process_clock = _ProcessClock(clock=self._clock)
-        self._process_net = _ProcessNetwork(net=self._net)
+        self._process_net = _ProcessNetwork(
+            clock=self._process_clock, net=self._net
+        )
+        self._process_net.cut_from_leaves(self._leaf_cut)
         self.process = tier_vm.TierVm(
             boot=platform_adapter.read_boot(str(self._settings)).ok,
             clock=self._process_clock,
@@ -256,6 +321,11 @@
             self._net.listen(self.host, port, server)
         self.process.start(record)
 
+    def cut_from_leaves(self, cut: LeafCut | None) -> None:
+        """Cut the VM off from all leaves, or end that with None."""
+        self._leaf_cut = cut
+        self._process_net.cut_from_leaves(cut)
+
     def kill(self) -> None:
         """End the process at once, with its timers and connections.
 
@@ -276,12 +346,14 @@
     """Answer to a caller's request.
 
     Attributes:
+        vm: Name of the VM that got the request.
         sent_at: Monotonic time of sending.
         took_s: Seconds until the answer.
         status: Its status; 0 for none.
         missing: Shards that it states as missing.
     """
 
+    vm: str
     sent_at: float
     took_s: float
     status: int
@@ -399,7 +471,7 @@
             leaf_id=f"s{shard}-{replica}",
             work_s=self._sizes.work_s,
         )
-        host = f"10.2.{shard}.{replica}"
+        host = f"{_LEAF_NETWORK}{shard}.{replica}"
         self._net.listen(host, _LEAF_PORT, leaf.factory())
         self.leaf_by_id[leaf.id] = FleetLeaf(
             leaf=leaf,
@@ -549,6 +621,7 @@
                 missing = opaque_caller.missing_shards(outcome.response)
             self.answers.append(
                 FleetAnswer(
+                    vm=vm.name,
                     sent_at=sent_at,
                     took_s=self.clock.monotonic() - sent_at,
                     status=status,
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -412,6 +412,7 @@
         """Assign a new connection to the call that has waited longest."""
         self._opening_count -= 1
         self._connections.add(connection)
+        self.stats.record_connected()
         self._assign(connection)
 
     def freed(self, connection: http1.ClientConnection) -> None:
--- a/trefoilpier/replicas/state.py
+++ b/trefoilpier/replicas/state.py
@@ -46,6 +46,7 @@
         "_consecutive_failures",
         "_ejected_until",
         "_ejection_s",
+        "_failed_to_connect",
         "_load_report",
         "_load_reported_at",
         "_policy",
@@ -75,6 +76,7 @@
         self._consecutive_failures = 0
         self._ejected_until = 0.0
         self._ejection_s = _EJECTION_MIN_S
+        self._failed_to_connect = False
         self._load_report: LeafLoad | None = None
         self._load_reported_at = 0.0
         self._shed_until = 0.0
@@ -151,8 +153,21 @@
         self._consecutive_failures = max(
             self._consecutive_failures, _CONSECUTIVE_FAILURES_MAX - 1
         )
+        self._failed_to_connect = True
         self.record_failure(now)
 
+    def record_connected(self) -> None:
+        """Record a connection that was opened.
+
+        It ends an ejection for failures to connect. Other failures may go on.
+        """
+        if not self._failed_to_connect:
+            return
+        self._failed_to_connect = False
+        self._consecutive_failures = 0
+        self._ejection_s = _EJECTION_MIN_S
+        self._ejected_until = 0.0
+
     def record_shed(self, now: float) -> None:
         """Record a request that the leaf rejected unprocessed.
 
--- a/trefoilpier/replicas/tests/test_choice.py
+++ b/trefoilpier/replicas/tests/test_choice.py
@@ -83,3 +83,16 @@
     assert not bad.stats.is_ejected(10.6)
     bad.stats.record_failure(10.6)
     assert bad.stats.is_ejected(11.5)
+
+
+def test_connection_leaves_a_leaf_ejected_for_failures_to_connect():
+    bad = make_pool("a")
+    for _ in range(4):
+        bad.stats.record_connect_failure(10.0)
+    assert bad.stats.is_ejected(13.0)
+    bad.stats.record_connected()
+    assert not bad.stats.is_ejected(10.0)
+    # Failed requests are another matter: the leaf accepts connections.
+    bad = make_pool("a", failed=3)
+    bad.stats.record_connected()
+    assert bad.stats.is_ejected(10.2)
