--- a/trefoilpier/base/events.py
+++ b/trefoilpier/base/events.py
@@ -28,6 +28,7 @@
     LEAF_SILENT = ("TPE-3004", "WARNING", "silent connection retired")
     LEAF_WRONG_ANSWER = ("TPE-3005", "WARNING", "leaf answer rejected")
     LEAF_RATE_LIMIT = ("TPE-3006", "INFO", "leaf limits its rate")
+    SERVICES_LOST = ("TPE-3007", "WARNING", "services out of contact")
     CONFIG_IN_FORCE = ("TPE-4001", "INFO", "configuration in force")
     CONFIG_REJECTED = ("TPE-4002", "ERROR", "configuration rejected")
     CONFIG_STALE_READ = ("TPE-4003", "WARNING", "older version ignored")
--- a/trefoilpier/fleet/__init__.py
+++ b/trefoilpier/fleet/__init__.py
@@ -14,6 +14,7 @@
     decode_vm_record,
 )
 from trefoilpier.fleet.gatherers import GathererWatch
+from trefoilpier.fleet.reach import ServiceReach
 from trefoilpier.fleet.registration import VmRegistration
 from trefoilpier.fleet.relay import RelayHandler, RelayWire, relay_table
 from trefoilpier.fleet.role import can_gather, gatherers_max
@@ -37,6 +38,7 @@
     "VmRegistration",
     "RelayHandler",
     "RelayWire",
+    "ServiceReach",
     "StateHandler",
     "VmDirectory",
     "VmRecord",
--- a/trefoilpier/fleet/gatherers.py
+++ b/trefoilpier/fleet/gatherers.py
@@ -21,6 +21,8 @@
 _STATUS_NO_CONTENT = 204
 # A gatherer that went down is ranked last for this time.
 _DOWN_PENALTY_S = 3.0
+# What a gatherer that is no longer polled has reported counts for this time.
+_REPORT_LIFETIME_S = 10.0
 _POLLED_GATHERERS_MAX = 2  # Gatherers that one VM polls.
 
 
@@ -33,6 +35,7 @@
         "_tracked",
         "_watch",
         "active",
+        "lost_count",
         "record",
         "up",
         "vms",
@@ -48,6 +51,7 @@
         self._tracked = False
         self.active = True
         self.up = False
+        self.lost_count = 0
         # The gatherers that this one has reported.
         self.vms: list[directory.VmRecord] = []
 
@@ -109,7 +113,10 @@
 
     A relaying VM prefers gatherers in its own availability zone and sends its
     requests to those that it polls. A gatherer polls gatherers of any zone, to
-    learn of changes that it has not received from the store.
+    learn of changes that it has not received from the store, and to have a way
+    to leaves that it does not reach itself. While a preferred gatherer has lost
+    contact with services, others are polled too, and requests go to those that
+    have lost the fewest.
 
     Attributes:
         tracks_leaves: Returns whether a change of a gatherer's leaves ends a
@@ -122,6 +129,7 @@
     __slots__ = (
         "_clock",
         "_down_until_by_id",
+        "_lost_report_by_id",
         "_poller_by_id",
         "_log",
         "_on_state",
@@ -181,6 +189,8 @@
         self._on_state = on_state
         self._poller_by_id: dict[str, _StatePoller] = {}
         self._down_until_by_id: dict[str, float] = {}
+        # Time and count of each gatherer's last report of lost services.
+        self._lost_report_by_id: dict[str, tuple[float, int]] = {}
         self.directory = directory.VmDirectory()
         self.version = 0
 
@@ -195,6 +205,20 @@
             poller.up for poller in self._poller_by_id.values()
         )
 
+    @property
+    def lowest_lost_count(self) -> float:
+        """Services lost by the best gatherer; infinite if none is usable."""
+        if not self.version:
+            return float("inf")
+        return min(
+            (
+                poller.lost_count
+                for poller in self._poller_by_id.values()
+                if poller.up
+            ),
+            default=float("inf"),
+        )
+
     async def _discover(self) -> None:
         """Read the list of gatherers from the store while none is usable."""
         retry_pause_s = _DISCOVERY_PAUSE_S
@@ -246,22 +270,51 @@
                 poller = _StatePoller(watch=self, record=record)
                 self._poller_by_id[vm_id] = poller
                 defer.ensureDeferred(poller.run())
+        self._update_targets()
+
+    def _update_targets(self) -> None:
+        """Send requests to the gatherers that have lost the fewest services."""
+        lowest_lost_count = self.lowest_lost_count
         self._registry.replace_all(
             poller.record.to_leaf_entry()
             for poller in self._poller_by_id.values()
-            if poller.up
+            if poller.up and poller.lost_count <= lowest_lost_count
         )
 
     def _select_preferred(self) -> dict[str, directory.VmRecord]:
+        """Return the gatherers to poll.
+
+        Preferred ones are polled even if they have lost services, to learn when
+        they have regained them.
+        """
         now = self._clock.monotonic()
 
+        def is_down(record: directory.VmRecord) -> bool:
+            return self._down_until_by_id.get(record.id, 0.0) > now
+
         def rank(record: directory.VmRecord) -> tuple[bool, bool, int]:
-            down = self._down_until_by_id.get(record.id, 0.0) > now
             other_zone = bool(self._zone) and record.zone != self._zone
-            return down, other_zone, base.stable_hash(self._own_id + record.id)
+            name_hash = base.stable_hash(self._own_id + record.id)
+            return is_down(record), other_zone, name_hash
+
+        def rank_by_reach(record: directory.VmRecord) -> tuple[bool, int]:
+            return is_down(record), self._lost_count(record.id, now)
 
         ranked = sorted(self.directory.record_by_id.values(), key=rank)
-        return {record.id: record for record in ranked[:_POLLED_GATHERERS_MAX]}
+        chosen = ranked[:_POLLED_GATHERERS_MAX]
+        if any(self._lost_count(record.id, now) for record in chosen):
+            # The sort is stable and keeps the order of equal ones.
+            ranked.sort(key=rank_by_reach)
+            chosen += ranked[:_POLLED_GATHERERS_MAX]
+        return {record.id: record for record in chosen}
+
+    def _lost_count(self, vm_id: str, now: float) -> int:
+        """Return how many services a gatherer has reported as lost."""
+        poller = self._poller_by_id.get(vm_id)
+        if poller is not None and poller.up:
+            return poller.lost_count
+        reported_at, count = self._lost_report_by_id.get(vm_id, (now, 0))
+        return count if now - reported_at < _REPORT_LIFETIME_S else 0
 
     def make_client(self, record: directory.VmRecord) -> http1.HttpClient:
         """Return an HTTP client for the state port of a gatherer."""
@@ -276,13 +329,20 @@
         self, poller: _StatePoller, state: state_handler.GathererState
     ) -> None:
         """Process a state received from a gatherer."""
+        if state.version > self.version:
+            self.version = state.version
         if not poller.up:
             poller.up = True
             self._down_until_by_id.pop(poller.record.id, None)
-            self._registry.put(poller.record.to_leaf_entry())
             self._log.emit(base.Event.PEER_CONNECTED, peer=poller.record.id)
-        if state.version > self.version:
-            self.version = state.version
+            self._update_targets()
+        if state.lost_count != poller.lost_count:
+            poller.lost_count = state.lost_count
+            self._lost_report_by_id[poller.record.id] = (
+                self._clock.monotonic(),
+                state.lost_count,
+            )
+            self._update_pollers()
         self._on_state(poller.record, state)
         if state.vms:
             poller.vms = state.vms
--- a/trefoilpier/fleet/state_handler.py
+++ b/trefoilpier/fleet/state_handler.py
@@ -31,6 +31,7 @@
         current: Whether the VM's copy of the store is up to date.
         leaving: Whether the VM is shutting down.
         era: Era of the store in which the VM's copy was read, if known.
+        lost_count: Services of whose leaves the VM reaches none.
         limits: Limits on callers' requests.
         vm_generation: Change counter of the list of VMs.
         leaf_generation: Change counter of the list of leaves.
@@ -45,6 +46,7 @@
     leaf_generation: int
     vms: list[directory.VmRecord] | None
     era: int | None = None
+    lost_count: int = 0
 
     def tag(self, *, include_leaves: bool) -> str:
         """Return a tag that differs between different states of one process.
@@ -52,7 +54,7 @@
         Args:
             include_leaves: Whether a change of the leaves changes the tag.
         """
-        flags = f"{int(self.current)}{int(self.leaving)}"
+        flags = f"{int(self.current)}{int(self.leaving)}{self.lost_count}"
         leaf_tag = str(self.leaf_generation) if include_leaves else "-"
         era = "" if self.era is None else f"{self.era}."
         return f"{era}{self.version}.{flags}.{self.vm_generation}.{leaf_tag}"
@@ -94,6 +96,8 @@
                 leaf_generation=int(row["leaf_generation"]),
                 vms=vms,
                 era=_decode_era(row.get("era")),
+                # VMs of earlier releases state none.
+                lost_count=int(row.get("lost_count", 0)),
             )
         )
     except (ValueError, KeyError, TypeError) as error:
--- a/trefoilpier/fleet/tests/test_relay.py
+++ b/trefoilpier/fleet/tests/test_relay.py
@@ -124,6 +124,15 @@
             clock=self.clock,
             engine=self.local_engine,
             relay=self.relay,
+            # Not taken, since no service is lost.
+            detour=self.relay,
+            reach=fleet.ServiceReach(
+                clock=self.clock,
+                log=base.NullEventLog(),
+                registry=self.local_engine.registry,
+                get_services=frozenset,
+                on_change=lambda: None,
+            ),
             is_gatherer=lambda: False,
             start_store_sync=self._start_store_sync,
         )
--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -190,14 +190,12 @@
         """Route a request and start forwarding it."""
         request = exchange.request
         metadata = self.wire.read_metadata(request)
-        table = self.table
-        if table is None:
+        if self.table is None:
             self._wait_for_routes(exchange, metadata)
             return
-        host = http1.find_header(request.headers, b"host") or b""
-        path = request.target.partition(b"?")[0]
-        route = table.match(host.partition(b":")[0], path)
+        route = self.find_route(request)
         if route is None:
+            host = http1.find_header(request.headers, b"host") or b""
             self._respond(
                 exchange,
                 metadata,
@@ -208,6 +206,14 @@
             return
         self._start(exchange, metadata, route)
 
+    def find_route(self, request: http1.HttpRequest) -> routes.Route | None:
+        """Return the route of a request in the active routes, if any."""
+        if self.table is None:
+            return None
+        host = http1.find_header(request.headers, b"host") or b""
+        path = request.target.partition(b"?")[0]
+        return self.table.match(host.partition(b":")[0], path)
+
     def _wait_for_routes(
         self, exchange: http1.Exchange, metadata: wires.RequestMetadata
     ) -> None:
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -8,9 +8,9 @@
 from twisted.internet import protocol
 
 from trefoilpier import base, http1
+from trefoilpier.replicas import contact, rate_limit, state
 from trefoilpier.replicas import entry as entries
 from trefoilpier.replicas import policy as policies
-from trefoilpier.replicas import rate_limit, state
 
 # A leaf accepts a connection only when a slot is free for its handshake.
 _CONNECT_TIMEOUT_S = 0.4
@@ -143,6 +143,7 @@
         "_calls",
         "_clock",
         "_connections",
+        "_contact",
         "_id_header",
         "_idle",
         "_next_warm_up_at",
@@ -195,6 +196,7 @@
         self.vm_count = vm_count
         self._pacer = rate_limit.RequestPacer(phase=send_phase)
         self._send_timer: base.Timer | None = None
+        self._contact = contact.LeafContact()
         now = clock.monotonic()
         self.stats = state.LeafStats(
             slots=entry.slots,
@@ -281,10 +283,22 @@
                 return True
         return False
 
+    def is_out_of_contact(self, now: float) -> bool:
+        """Return whether this VM does not reach the leaf."""
+        return self._contact.is_lost(now)
+
     def warm_up(self) -> None:
-        """Open a connection in advance of the first call."""
+        """Open a connection in advance of the first call.
+
+        A leaf that is out of contact gets one beside those that it has, since
+        they may hang.
+        """
         now = self._clock.monotonic()
-        if self._connections or self._opening_count or self.leaving:
+        if self._opening_count or self.leaving:
+            return
+        if self._connections and not self._contact.is_lost(now):
+            return
+        if len(self._connections) >= self.connections_max:
             return
         if now < self._next_warm_up_at:
             return
@@ -338,6 +352,7 @@
             return
         call.connection = connection
         call.sent_at = self._clock.monotonic()
+        self._contact.start_wait(call.sent_at)
 
         def ended(
             outcome: http1.ResponseReceived | http1.RequestFailed,
@@ -346,6 +361,7 @@
             if isinstance(outcome, http1.RequestFailed):
                 result = CallResult(end=CallEnd.LOST, reason=outcome.reason)
             else:
+                self._contact.record_sign_of_life(self._clock.monotonic())
                 result = CallResult(
                     end=CallEnd.ANSWERED, response=outcome.response
                 )
@@ -361,18 +377,21 @@
     def _end_call(self, call: LeafCall, result: CallResult) -> None:
         if call.done:
             return
+        self._remove_call(call)
+        call.on_end(call, result)
+
+    def _remove_call(self, call: LeafCall) -> None:
         call.done = True
         self._calls.discard(call)
         self.stats.in_flight -= 1
-        call.on_end(call, result)
+        if call.sent_at:
+            self._contact.end_wait(self._clock.monotonic())
 
     def cancel_call(self, call: LeafCall) -> None:
         """Cancel a call without calling its ``on_end``."""
         if call.done:
             return
-        call.done = True
-        self._calls.discard(call)
-        self.stats.in_flight -= 1
+        self._remove_call(call)
         if call in self._waiting_calls:
             self._waiting_calls.remove(call)
             return
@@ -398,6 +417,7 @@
         """Handle a failed connection and end the calls that waited for it."""
         self._opening_count -= 1
         self.stats.record_connect_failure(self._clock.monotonic())
+        self._contact.record_connect_failure()
         waiting = self._waiting_calls[self._opening_count :]
         del self._waiting_calls[self._opening_count :]
         for call in waiting:
@@ -413,6 +433,7 @@
         self._opening_count -= 1
         self._connections.add(connection)
         self.stats.record_connected()
+        self._contact.record_sign_of_life(self._clock.monotonic())
         self._assign(connection)
 
     def freed(self, connection: http1.ClientConnection) -> None:
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -310,6 +310,15 @@
         """Remove a leaf whose address is now used by another leaf."""
         self._remove(leaf_id, "another leaf now uses the address")
 
+    def is_out_of_contact(self, service: str) -> bool:
+        """Return whether this VM reaches no leaf of a service that has any."""
+        now = self._clock.monotonic()
+        service_pools = self.pools_by_service.get(service)
+        return bool(service_pools) and all(
+            service_pool.is_out_of_contact(now)
+            for service_pool in service_pools
+        )
+
     def warm_up_leaves(self, services: Iterable[str]) -> None:
         """Open a connection to each leaf of the services in advance."""
         for service in services:
--- a/trefoilpier/tier/dispatcher.py
+++ b/trefoilpier/tier/dispatcher.py
@@ -1,4 +1,8 @@
-"""Dispatch of callers' requests: served locally or relayed to a gatherer."""
+"""Dispatch of callers' requests: served locally or relayed to a gatherer.
+
+A gatherer relays too while it has lost contact with services that a peer
+reaches.
+"""
 
 from collections.abc import Callable
 
@@ -48,9 +52,11 @@
     __slots__ = (
         "_no_gatherer_since",
         "_clock",
+        "_detour",
         "_engine",
         "_is_gatherer",
         "_store_sync_started",
+        "_reach",
         "_relay",
         "_start_store_sync",
         "_started",
@@ -62,6 +68,8 @@
         clock: base.Clock,
         engine: forward.ForwardEngine,
         relay: Relay,
+        detour: Relay,
+        reach: fleet.ServiceReach,
         is_gatherer: Callable[[], bool],
         start_store_sync: Callable[[], None],
     ) -> None:
@@ -70,7 +78,9 @@
         Args:
             clock: Source of time and timers.
             engine: Engine that forwards requests to leaves.
-            relay: Relay path to gatherers.
+            relay: Relay path to gatherers, for a VM that does not gather.
+            detour: Relay path to peers, for a gatherer.
+            reach: Services that this VM reaches.
             is_gatherer: Returns whether this VM is a gatherer.
             start_store_sync: Starts to follow the store; called once, if no
                 gatherer becomes usable.
@@ -78,6 +88,8 @@
         self._clock = clock
         self._engine = engine
         self._relay = relay
+        self._detour = detour
+        self._reach = reach
         self._is_gatherer = is_gatherer
         self._start_store_sync = start_store_sync
         self._started = False
@@ -115,10 +127,24 @@
             and not self._is_gatherer()
         )
 
+    def _needs_detour(self, request: http1.HttpRequest) -> bool:
+        """Return whether a peer reaches more of what the request needs."""
+        lost_services = self._reach.lost_services
+        if not lost_services:
+            return False
+        if self._detour.watch.lowest_lost_count >= len(lost_services):
+            return False
+        route = self._engine.find_route(request)
+        return route is not None and not lost_services.isdisjoint(
+            route.service_names
+        )
+
     def handle(self, exchange: http1.Exchange) -> None:
         """Serve the request locally or relay it."""
         if self.is_relaying:
             self._relay.engine.handle(exchange)
+        elif self._needs_detour(exchange.request):
+            self._detour.engine.handle(exchange)
         else:
             self._engine.handle(exchange)
 
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -45,6 +45,7 @@
     __slots__ = (
         "_boot",
         "_clock",
+        "_detour",
         "_directory",
         "_engine",
         "_peer_sync",
@@ -52,7 +53,7 @@
         "_log",
         "_on_limits",
         "_policy",
-        "_peer_watch",
+        "_reach",
         "_registration",
         "_reactor",
         "_relay",
@@ -60,6 +61,7 @@
         "_selection",
         "_store",
         "_store_sync",
+        "_used_services",
         "_vm_count",
         "request_dispatcher",
         "relay_handler",
@@ -110,7 +112,13 @@
         self._engine, self._leaf_registry = self._make_engine(
             wire, boot.budget, None
         )
-        self._relay = self._make_relay(wire)
+        self._used_services: frozenset[str] = frozenset()
+        self._relay = self._make_relay(
+            wire,
+            zone=boot.zone,
+            tracks_leaves=lambda: False,
+            on_state=self._handle_gatherer_state,
+        )
         self._store_sync = store_sync.StoreSync(
             clock=clock,
             log=log,
@@ -128,7 +136,13 @@
         self._peer_sync = peer_sync.PeerSync(
             clock=clock, log=log, reactor=reactor, local_sync=self._store_sync
         )
-        self._peer_watch = self._make_peer_watch()
+        self._detour = self._make_relay(
+            wire,
+            zone="",
+            # The store reports them, unless it fails.
+            tracks_leaves=lambda: not self._store_sync.current,
+            on_state=self._handle_peer_state,
+        )
         self.state_handler = fleet.StateHandler(
             clock=clock,
             make_state=self._make_state,
@@ -136,11 +150,20 @@
                 self._store_sync.items
             ),
         )
+        self._reach = fleet.ServiceReach(
+            clock=clock,
+            log=log,
+            registry=self._leaf_registry,
+            get_services=lambda: self._used_services,
+            on_change=self.state_handler.notify_waiting,
+        )
         self.relay_handler = fleet.RelayHandler(engine=self._engine)
         self.request_dispatcher = dispatcher.RequestDispatcher(
             clock=clock,
             engine=self._engine,
             relay=self._relay,
+            detour=self._detour,
+            reach=self._reach,
             is_gatherer=self.is_gatherer,
             start_store_sync=self._store_sync.start,
         )
@@ -176,7 +199,22 @@
         engine.registry = registry
         return engine, registry
 
-    def _make_relay(self, wire: forward.LeafWire) -> dispatcher.Relay:
+    def _make_relay(
+        self,
+        wire: forward.LeafWire,
+        *,
+        zone: str,
+        tracks_leaves: Callable[[], bool],
+        on_state: Callable[[fleet.VmRecord, fleet.GathererState], None],
+    ) -> dispatcher.Relay:
+        """Create a path to gatherers and the watch that chooses them.
+
+        Args:
+            wire: Protocol of callers and leaves.
+            zone: Preferred availability zone of the gatherers; empty for any.
+            tracks_leaves: Returns whether a change of their leaves matters.
+            on_state: Called with each state that a gatherer reports.
+        """
         relay_wire = fleet.RelayWire(wire=wire)
         engine, registry = self._make_engine(
             relay_wire, _RELAY_BUDGET, _RELAY_REUSE_POLICY
@@ -184,40 +222,7 @@
         registry.set_connection_limits(
             {fleet.GATHERER_SERVICE: _RELAY_CONNECTIONS_MAX}
         )
-        watch = self._make_watch(
-            registry,
-            zone=self._boot.zone,
-            tracks_leaves=lambda: False,
-            on_state=self._handle_gatherer_state,
-        )
-        return dispatcher.Relay(engine=engine, wire=relay_wire, watch=watch)
-
-    def _make_peer_watch(self) -> fleet.GathererWatch:
-        """Create the watch through which a gatherer follows its peers."""
-        registry = replicas.LeafRegistry(
-            clock=self._clock,
-            log=base.NullEventLog(),
-            reactor=self._reactor,
-            id_header=b"",
-            on_capacity=lambda pool: None,
-        )
-        return self._make_watch(
-            registry,
-            zone="",
-            # The store reports them, unless it fails.
-            tracks_leaves=lambda: not self._store_sync.current,
-            on_state=self._peer_sync.handle_state,
-        )
-
-    def _make_watch(
-        self,
-        registry: replicas.LeafRegistry,
-        *,
-        zone: str,
-        tracks_leaves: Callable[[], bool],
-        on_state: Callable[[fleet.VmRecord, fleet.GathererState], None],
-    ) -> fleet.GathererWatch:
-        return fleet.GathererWatch(
+        watch = fleet.GathererWatch(
             clock=self._clock,
             log=self._log,
             rng=self._rng,
@@ -229,6 +234,7 @@
             tracks_leaves=tracks_leaves,
             on_state=on_state,
         )
+        return dispatcher.Relay(engine=engine, wire=relay_wire, watch=watch)
 
     def start(self, record: fleet.VmRecord) -> None:
         """Start the components.
@@ -249,7 +255,8 @@
         )
         self._registration.start()
         self._store_sync.start()
-        self._peer_watch.start()
+        self._detour.watch.start()
+        self._reach.start()
 
     @property
     def can_gather(self) -> bool:
@@ -270,6 +277,8 @@
 
     def _apply_routes(self, table: routes.RouteTable) -> None:
         self._engine.table = table
+        self._used_services = table.used_services
+        self._detour.update_version(table.version)
         self._on_limits(table.limits)
         self._leaf_registry.set_connection_limits(
             {
@@ -317,6 +326,7 @@
             leaf_generation=self._leaf_registry.generation,
             vms=vms,
             era=self._store_sync.era,
+            lost_count=len(self._reach.lost_services),
         )
 
     def _handle_gatherer_state(
@@ -327,6 +337,13 @@
         if not self.is_gatherer() and state.version >= self._relay.version:
             self._on_limits(state.limits)
 
+    def _handle_peer_state(
+        self, record: fleet.VmRecord, state: fleet.GathererState
+    ) -> None:
+        """Apply a peer's state: its routes, and its items if needed."""
+        self._detour.update_version(state.version)
+        self._peer_sync.handle_state(record, state)
+
     def _warm_connections(self) -> None:
         """Keep a connection to each leaf open, checked periodically."""
         if self._store_sync.loaded and self.is_gatherer():
@@ -370,7 +387,8 @@
     @property
     def in_flight(self) -> int:
         """Number of requests without a response."""
-        return self._engine.in_flight + self._relay.engine.in_flight
+        engines = self.engine_by_role.values()
+        return sum(engine.in_flight for engine in engines)
 
     @property
     def version(self) -> int:
@@ -380,7 +398,11 @@
     @property
     def engine_by_role(self) -> dict[str, forward.ForwardEngine]:
         """Forwarding engines by role, for the metrics."""
-        return {"gather": self._engine, "relay": self._relay.engine}
+        return {
+            "gather": self._engine,
+            "relay": self._relay.engine,
+            "detour": self._detour.engine,
+        }
 
     @property
     def gauges(self) -> dict[str, Callable[[], float]]:
@@ -390,6 +412,7 @@
             "store_calls_total": lambda: self._store.request_count,
             "store_current": lambda: self._store_sync.current,
             "leafs_known": lambda: len(self._leaf_registry.pool_by_id),
+            "services_lost": lambda: len(self._reach.lost_services),
             "vms_gathering": lambda: len(self._directory.record_by_id),
             "draining": lambda: self.stopping,
         }
