--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -9,6 +9,7 @@
 import random
 import tempfile
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 from lab import event_rows
 from standins import leaf_rules, memory_fleet
@@ -31,12 +32,29 @@
 _REPLICAS_MIN = 2  # Leaves that a shard keeps.
 _RATE_LIMIT_RANGE = (1.0, 8.0)  # Requests a second that a leaf names.
 _LIMIT_RANGE_S = (5.0, 9.0)  # Time for which it names them.
+# Long enough for the platform to judge the VMs that are cut off.
+_CUT_RANGE_S = (7.0, 10.0)
 # A leaf gets no new requests this long after it announced that it leaves, if
 # the store has been stable around that.
 _DRAIN_S = 3.0
 _STABLE_S = 4.0
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Cut:
+    """A time in which VMs had no path to the leaves.
+
+    Attributes:
+        vms: Names of the VMs.
+        start: Monotonic time at which it began.
+        end: Monotonic time at which it ended.
+    """
+
+    vms: tuple[str, ...]
+    start: float
+    end: float
+
+
 class FleetFuzz:
     """One run with random faults.
 
@@ -49,6 +67,7 @@
         "_log",
         "_next_replica",
         "_rng",
+        "_cuts",
         "_started_at",
         "_starts",
         "_store_trouble",
@@ -75,6 +94,7 @@
         self._started_at = self.fleet.clock.monotonic()
         # Start and end of each time in which the store was not stable.
         self._store_trouble: list[tuple[float, float]] = []
+        self._cuts: list[_Cut] = []
         self._starts: list[float] = []  # Times at which VMs were started.
         self.applied: list[str] = []
 
@@ -109,6 +129,7 @@
             self._leaf_leaves,
             self._leaf_joins,
             self._leaf_limits_rate,
+            self._cut_from_leaves,
         )
         name = self._rng.choice(faults)()
         at = self.fleet.clock.monotonic() - self._started_at
@@ -221,6 +242,29 @@
         self.fleet.clock.call_later(seconds, leaf.limit_rate, None)
         return f"leaf {leaf.id} limits its rate to {rate} for {seconds:.1f} s"
 
+    def _cut_from_leaves(self) -> str:
+        now = self.fleet.clock.monotonic()
+        if any(cut.end > now for cut in self._cuts):
+            return "no VM is cut from the leaves: some are"
+        gatherers = self.fleet.vms[: SIZES.large]
+        vms = self._rng.sample(gatherers, self._rng.randint(1, len(gatherers)))
+        how = self._rng.choice(list(memory_fleet.LeafCut))
+        seconds = self._rng.uniform(*_CUT_RANGE_S)
+
+        def end() -> None:
+            for vm in vms:
+                vm.cut_from_leaves(None)
+
+        for vm in vms:
+            vm.cut_from_leaves(how)
+        self.fleet.clock.call_later(seconds, end)
+        names = tuple(vm.name for vm in vms)
+        self._cuts.append(_Cut(vms=names, start=now, end=now + seconds))
+        return (
+            f"{', '.join(names)} cut from the leaves ({how.name.lower()}) for "
+            f"{seconds:.1f} s"
+        )
+
     def _violations(
         self, answers: list[memory_fleet.FleetAnswer]
     ) -> Iterator[str]:
@@ -230,6 +274,13 @@
             yield from leaf_rules.rate_limit_violations(
                 each.leaf, vm_starts=self._starts
             )
+        for cut in self._cuts:
+            yield from leaf_rules.cut_violations(
+                self.fleet.answers,
+                cut_vms=cut.vms,
+                start=cut.start,
+                end=cut.end,
+            )
         whole = sum(each.whole for each in answers)
         if whole < _WHOLE_MIN * len(answers):
             yield f"{whole} of {len(answers)} answers are whole in the end"
--- a/lab/tests/test_fleet_fuzz.py
+++ b/lab/tests/test_fleet_fuzz.py
@@ -5,6 +5,7 @@
 from lab import fuzz
 from standins import platform_model
 from trefoilpier.replicas import rate_limit
+from trefoilpier.tier import dispatcher
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -24,6 +25,14 @@
     assert any("at a limit of" in each for each in sum(violations, []))
 
 
+def test_refusals_of_vms_cut_from_leaves_are_found(monkeypatch):
+    monkeypatch.setattr(
+        dispatcher.RequestDispatcher, "_needs_detour", lambda *args: False
+    )
+    violations = [fuzz.run_seed(seed)[0] for seed in range(1, 6)]
+    assert any("cut from leaves" in each for each in sum(violations, []))
+
+
 def test_lost_registrations_are_found(monkeypatch):
     monkeypatch.setattr(
         platform_model.PlatformModel, "renew_lease", lambda self, lease: True
--- a/standins/leaf_rules.py
+++ b/standins/leaf_rules.py
@@ -1,6 +1,7 @@
-"""What the platform allows leaves that ask for fewer requests."""
+"""What the platform demands toward leaves, and where VMs do not reach them."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Protocol
 
 from standins import opaque_leaf
 
@@ -10,10 +11,64 @@
 _CONTACT_S = 4.0
 _RATE_FACTOR = 1.5
 _EXTRA_REQUESTS = 5
+# Cut VMs are judged from this time after the cut began: their callers may be
+# served a third less often than the others', and some may fail in any case.
+_CUT_CONTACT_S = 4.0
+_CUT_SERVED_MIN = 2 / 3
+_CUT_FAILED_MAX = 10
+_CUT_FAILED_SHARE = 1 / 50
 # A VM that has just started sends until the leaf's first answer tells it.
 _REQUESTS_BEFORE_TOLD = 4
 
 
+class Answered(Protocol):
+    """A request of a caller and what became of it.
+
+    Attributes:
+        vm: Name of the VM that got it.
+        sent_at: Monotonic time of sending.
+        status: Status of the answer; 0 for none.
+    """
+
+    vm: str
+    sent_at: float
+    status: int
+
+
+def cut_violations(
+    answers: Iterable[Answered],
+    *,
+    cut_vms: Sequence[str],
+    start: float,
+    end: float,
+) -> Iterator[str]:
+    """Return whether callers of cut VMs were served worse than the others.
+
+    Args:
+        answers: Requests of callers; those outside the cut do not count.
+        cut_vms: Names of the VMs without a path to the leaves.
+        start: Monotonic time at which the cut began.
+        end: Monotonic time at which it ended.
+    """
+    judged = [
+        each
+        for each in answers
+        if start + _CUT_CONTACT_S <= each.sent_at <= end
+    ]
+    served = [each.status == 200 for each in judged if each.vm in cut_vms]
+    others = [each.status == 200 for each in judged if each.vm not in cut_vms]
+    if not served or not others:
+        return
+    failed = len(served) - sum(served)
+    share, other_share = sum(served) / len(served), sum(others) / len(others)
+    tolerated = _CUT_FAILED_MAX + _CUT_FAILED_SHARE * len(judged)
+    if failed > tolerated and share < _CUT_SERVED_MIN * other_share:
+        yield (
+            f"{', '.join(cut_vms)} cut from leaves served {share:.2f} of their "
+            f"callers, the others {other_share:.2f}"
+        )
+
+
 def allowed_requests(rate: float) -> float:
     """Return how many requests a limit allows in one window.
 
