DRAIN: a leaf that says in its answers that it leaves gets no requests

A leaf that leaves says so in all its answers (Server-Leaving: 1), also where its entry does not; no VM read it, so requests went on until the entry changed.

Change: the registry drains a leaf at the first such answer and remembers the process, so that neither its next heartbeat nor an entry that was away for a while brings it back. A new process under its id is another leaf.

--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -29,6 +29,7 @@
 _JUDGED_S = 3.0  # Time after the quiet one in which answers are judged.
 _WHOLE_MIN = 0.99  # Share of these answers.
 _LEAF_LEAVES_AFTER_S = 5.0
+_SAYS_LEAVING_SHARE = 0.5  # Leaves that also say so in their answers.
 _REPLICAS_MIN = 2  # Leaves that a shard keeps.
 _RATE_LIMIT_RANGE = (1.0, 8.0)  # Requests a second that a leaf names.
 _LIMIT_RANGE_S = (5.0, 9.0)  # Time for which it names them.
@@ -217,6 +218,8 @@
         if len(staying[shard]) <= _REPLICAS_MIN:
             return "no leaf leaves: the shard has too few"
         leaf_id = self._rng.choice(staying[shard])
+        leaf = self.fleet.leaf_by_id[leaf_id].leaf
+        leaf.says_leaving = self._rng.random() < _SAYS_LEAVING_SHARE
         self.fleet.drain_leaf(leaf_id, _LEAF_LEAVES_AFTER_S)
         return f"leaf {leaf_id} leaves"
 
--- a/standins/opaque_leaf.py
+++ b/standins/opaque_leaf.py
@@ -80,6 +80,7 @@
         slots: Maximum number of requests that run concurrently.
         queue_max: Maximum number of queued requests.
         rate_limits: The limits that it has named, in order.
+        says_leaving: Whether its responses say that it leaves.
         faults: Injected faults.
         runs: Ids of the requests that were started.
         refused: Ids of the requests that were rejected unprocessed.
@@ -104,6 +105,7 @@
         "request_times",
         "requests",
         "runs",
+        "says_leaving",
         "slots",
     )
 
@@ -143,6 +145,7 @@
         self.queue_max = queue_max
         self.faults = LeafFaults()
         self.rate_limits: list[RateLimit] = []
+        self.says_leaving = False
         self.runs: list[bytes] = []
         self.refused: list[bytes] = []
         self.requests: list[http1.HttpRequest] = []
@@ -304,6 +307,8 @@
         if self.rate_limit is not None:
             limit = f"{self.rate_limit:.1f}"
             response.headers.append((b"server-limit", limit.encode()))
+        if self.says_leaving:
+            response.headers.append((b"server-leaving", b"1"))
         exchange.respond(response)
 
     def rejected(self, status: int, reason: str) -> None:
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -289,7 +289,7 @@
         if answer.load is not None:
             pool.stats.record_load(answer.load, now)
         if not answer.wrong_leaf:
-            self._env.registry.set_rate_limit(pool, answer.rate_limit)
+            self._apply_notices(pool, answer)
         if answer.wrong_leaf:
             self._env.registry.remove_replaced(pool.entry.id)
             self._reason = "another leaf now uses the address"
@@ -322,6 +322,14 @@
             )
         )
 
+    def _apply_notices(
+        self, pool: replicas.LeafPool, answer: wires.LeafAnswer
+    ) -> None:
+        """Apply what the leaf says about further requests to it."""
+        self._env.registry.set_rate_limit(pool, answer.rate_limit)
+        if answer.leaving:
+            self._env.registry.handle_leaving(pool)
+
     def _retry_not_sent(self) -> None:
         if self._done or self._call_by_leaf:
             return
--- a/trefoilpier/forward/wire.py
+++ b/trefoilpier/forward/wire.py
@@ -32,6 +32,7 @@
         load: Load reported by the leaf, if any.
         rate_limit: Requests a second that the leaf takes from all VMs
             together; None if it names no limit.
+        leaving: Whether the leaf says that it leaves.
     """
 
     response: http1.HttpResponse
@@ -41,6 +42,7 @@
     failed: bool
     load: replicas.LeafLoad | None
     rate_limit: float | None = None
+    leaving: bool = False
 
     @property
     def successful(self) -> bool:
--- a/trefoilpier/platform/headers.py
+++ b/trefoilpier/platform/headers.py
@@ -11,6 +11,7 @@
 _SEAL_HEADER = b"x-server-seal"
 _LOAD_HEADER = b"x-server-load"
 _RATE_LIMIT_HEADER = b"server-limit"
+_LEAVING_HEADER = b"server-leaving"
 _NOT_EXECUTED_HEADER = b"x-not-executed"
 _PART_SEALS_HEADER = b"x-part-stamps"
 _MISSING_PARTS_HEADER = b"x-missing-parts"
@@ -23,7 +24,12 @@
 )
 # Response headers from a leaf for the tier, not relayed to callers.
 _TIER_ONLY_HEADERS = frozenset(
-    (_LOAD_HEADER, _NOT_EXECUTED_HEADER, _RATE_LIMIT_HEADER)
+    (
+        _LOAD_HEADER,
+        _NOT_EXECUTED_HEADER,
+        _RATE_LIMIT_HEADER,
+        _LEAVING_HEADER,
+    )
 )
 # Load reports are a few small numbers, so that most have been seen before.
 _LOAD_REPORTS_CACHED = 512
@@ -97,6 +103,7 @@
             failed=seal is None or response.status >= _MIN_SERVER_ERROR_STATUS,
             load=_parse_load(value_by_name.get(_LOAD_HEADER)),
             rate_limit=_parse_number(value_by_name.get(_RATE_LIMIT_HEADER)),
+            leaving=value_by_name.get(_LEAVING_HEADER) == b"1",
         )
 
     def relay(self, answer: forward.LeafAnswer) -> http1.HttpResponse:
--- a/trefoilpier/replicas/departures.py
+++ b/trefoilpier/replicas/departures.py
@@ -7,6 +7,8 @@
 _REMEMBERED_S = 60.0
 # The entry of a leaf that has gone expires after three missed heartbeats.
 _OUTDATED_ENTRY_LIFETIME_S = 6.0
+# A leaf that leaves may go on serving for many seconds.
+_ANNOUNCED_MAX_S = 600.0
 
 
 class Departures:
@@ -69,3 +71,44 @@
             and entry.phase is entries.LeafPhase.READY
             and departure[1].is_same_process(entry)
         )
+
+
+class Announcements:
+    """Leaves that have said in an answer that they leave.
+
+    >>> clock = base.VirtualClock()
+    >>> leaf = entries.LeafEntry(id="a", incarnation=1, service="s", host="h",
+    ...     port=1, zone="z", slots=2, phase=entries.LeafPhase.READY)
+    >>> announcements = Announcements(clock=clock)
+    >>> announcements.record(leaf)
+    >>> announcements.has_announced(leaf)
+    True
+    """
+
+    __slots__ = ("_clock", "_recorded_by_id")
+
+    def __init__(self, *, clock: base.Clock) -> None:
+        """Create it without announcements.
+
+        Args:
+            clock: Clock of the announcements.
+        """
+        self._clock = clock
+        # In the order of their times.
+        self._recorded_by_id: dict[str, tuple[float, entries.LeafEntry]] = {}
+
+    def record(self, entry: entries.LeafEntry) -> None:
+        """Remember that a leaf has said that it leaves."""
+        now = self._clock.monotonic()
+        self._recorded_by_id.pop(entry.id, None)
+        self._recorded_by_id[entry.id] = (now, entry)
+        while True:
+            oldest_id = next(iter(self._recorded_by_id))
+            if now - self._recorded_by_id[oldest_id][0] <= _ANNOUNCED_MAX_S:
+                return
+            del self._recorded_by_id[oldest_id]
+
+    def has_announced(self, entry: entries.LeafEntry) -> bool:
+        """Return whether the process of an entry has said that it leaves."""
+        recorded = self._recorded_by_id.get(entry.id)
+        return recorded is not None and recorded[1].is_same_process(entry)
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -8,6 +8,7 @@
 entries are ignored until they would have expired.
 """
 
+import dataclasses
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -37,6 +38,7 @@
     """
 
     __slots__ = (
+        "_announcements",
         "_clock",
         "_connections_max_by_service",
         "_departures",
@@ -93,6 +95,7 @@
         self._grace_until = 0.0
         self._grace_until_by_id: dict[str, float] = {}
         self._departures = departures.Departures(clock=clock)
+        self._announcements = departures.Announcements(clock=clock)
         self.generation = 0
         self.pool_by_id: dict[str, pool.LeafPool] = {}
         self.pools_by_service: dict[str, list[pool.LeafPool]] = {}
@@ -189,6 +192,8 @@
     def put(self, entry: entries.LeafEntry) -> None:
         """Add or update a leaf."""
         self._grace_until_by_id.pop(entry.id, None)
+        if self._announcements.has_announced(entry):
+            entry = dataclasses.replace(entry, phase=entries.LeafPhase.LEAVING)
         current = self.pool_by_id.get(entry.id)
         if current is not None and not current.entry.is_same_process(entry):
             self._remove(entry.id, "leaf restarted")
@@ -202,18 +207,33 @@
         if current.entry.phase is not entry.phase:
             self.generation += 1
         current.entry = entry
-        if entry.phase is entries.LeafPhase.LEAVING and not current.leaving:
-            self._log.emit(
-                base.Event.LEAF_DRAINING, leaf=entry.id, service=entry.service
-            )
-            self._departures.record(entry)
-            self._remove_from_service(current)
-            current.stop_accepting()
+        if entry.phase is entries.LeafPhase.LEAVING:
+            self._drain(current)
         elif entry.phase is entries.LeafPhase.READY and current.leaving:
             current.resume_accepting()
             self.pools_by_service.setdefault(entry.service, []).append(current)
             self._on_capacity(current)
 
+    def _drain(self, drained: pool.LeafPool) -> None:
+        """Send no new requests to a leaf that leaves."""
+        if drained.leaving:
+            return
+        entry = drained.entry
+        self._log.emit(
+            base.Event.LEAF_DRAINING, leaf=entry.id, service=entry.service
+        )
+        self._departures.record(entry)
+        self._remove_from_service(drained)
+        drained.stop_accepting()
+
+    def handle_leaving(self, leaving: pool.LeafPool) -> None:
+        """Handle an answer in which a leaf says that it leaves.
+
+        Its entry may say so later or never.
+        """
+        self._announcements.record(leaving.entry)
+        self._drain(leaving)
+
     def remove_leaf(self, leaf_id: str) -> None:
         """Handle the removal of a leaf's entry."""
         if leaf_id not in self.pool_by_id:
