BUDGET: a leaf that asks for rest with 503 and Retry-After gets none

A leaf may add Retry-After to a 503; no VM read it, and where it was the service's only usable leaf, requests went on.

Change: the pool has no capacity until the leaf wants requests again; calls that wait for one of its connections go elsewhere. Queued calls and the admission take that time like the wait for a limited leaf, so a request that no leaf takes before its deadline is refused at once.

--- a/standins/opaque_leaf.py
+++ b/standins/opaque_leaf.py
@@ -13,6 +13,7 @@
 from trefoilpier import base, http1
 
 _RECORD_SIZE_BYTES = 16
+_STATUS_UNAVAILABLE = 503
 
 
 @dataclass(slots=True, kw_only=True)
@@ -80,6 +81,8 @@
         slots: Maximum number of requests that run concurrently.
         queue_max: Maximum number of queued requests.
         rate_limits: The limits that it has named, in order.
+        rest_s: Seconds for which it wants no requests from a VM that it
+            refuses; None if it does not say.
         says_leaving: Whether its responses say that it leaves.
         faults: Injected faults.
         runs: Ids of the requests that were started.
@@ -104,6 +107,7 @@
         "refused",
         "request_times",
         "requests",
+        "rest_s",
         "runs",
         "says_leaving",
         "slots",
@@ -146,6 +150,7 @@
         self.faults = LeafFaults()
         self.rate_limits: list[RateLimit] = []
         self.says_leaving = False
+        self.rest_s: float | None = None
         self.runs: list[bytes] = []
         self.refused: list[bytes] = []
         self.requests: list[http1.HttpRequest] = []
@@ -214,7 +219,7 @@
             len(self._queue) >= self.queue_max
         )
         if full or self._rng.random() < self.faults.shed_share:
-            self._refuse(exchange, 503)
+            self._refuse(exchange, _STATUS_UNAVAILABLE)
             return
         self._queue.append(exchange)
         exchange.on_disconnect = lambda: self._on_caller_disconnect(exchange)
@@ -226,11 +231,11 @@
 
     def _refuse(self, exchange: http1.Exchange, status: int) -> None:
         self.refused.append(self._request_id(exchange))
+        headers = [(b"x-not-executed", b"1")]
+        if status == _STATUS_UNAVAILABLE and self.rest_s is not None:
+            headers.append((b"retry-after", f"{self.rest_s:.1f}".encode()))
         self._respond(
-            exchange,
-            http1.HttpResponse(
-                status=status, headers=[(b"x-not-executed", b"1")]
-            ),
+            exchange, http1.HttpResponse(status=status, headers=headers)
         )
 
     def _request_id(self, exchange: http1.Exchange) -> bytes:
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -327,6 +327,8 @@
     ) -> None:
         """Apply what the leaf says about further requests to it."""
         self._env.registry.set_rate_limit(pool, answer.rate_limit)
+        if answer.rest_s is not None:
+            pool.rest(answer.rest_s)
         if answer.leaving:
             self._env.registry.handle_leaving(pool)
 
--- a/trefoilpier/forward/wire.py
+++ b/trefoilpier/forward/wire.py
@@ -33,6 +33,8 @@
         rate_limit: Requests a second that the leaf takes from all VMs
             together; None if it names no limit.
         leaving: Whether the leaf says that it leaves.
+        rest_s: Seconds for which the leaf, which has rejected this request,
+            wants none from this VM; None if it does not say.
     """
 
     response: http1.HttpResponse
@@ -43,6 +45,7 @@
     load: replicas.LeafLoad | None
     rate_limit: float | None = None
     leaving: bool = False
+    rest_s: float | None = None
 
     @property
     def successful(self) -> bool:
--- a/trefoilpier/platform/headers.py
+++ b/trefoilpier/platform/headers.py
@@ -12,10 +12,12 @@
 _LOAD_HEADER = b"x-server-load"
 _RATE_LIMIT_HEADER = b"server-limit"
 _LEAVING_HEADER = b"server-leaving"
+_REST_HEADER = b"retry-after"
 _NOT_EXECUTED_HEADER = b"x-not-executed"
 _PART_SEALS_HEADER = b"x-part-stamps"
 _MISSING_PARTS_HEADER = b"x-missing-parts"
 _STATUS_MISDIRECTED = 421
+_STATUS_UNAVAILABLE = 503
 _MIN_SERVER_ERROR_STATUS = 500
 _NOT_EXECUTED_STATUSES = frozenset((400, 421, 429, 503))
 # Request headers that the tier replaces or omits toward a leaf.
@@ -93,6 +95,9 @@
         ):
             seal = None
         wrong_leaf = response.status == _STATUS_MISDIRECTED
+        rest_s = None
+        if response.status == _STATUS_UNAVAILABLE:
+            rest_s = _parse_number(value_by_name.get(_REST_HEADER))
         marked_not_executed = _NOT_EXECUTED_HEADER in value_by_name
         return forward.LeafAnswer(
             response=response,
@@ -104,6 +109,7 @@
             load=_parse_load(value_by_name.get(_LOAD_HEADER)),
             rate_limit=_parse_number(value_by_name.get(_RATE_LIMIT_HEADER)),
             leaving=value_by_name.get(_LEAVING_HEADER) == b"1",
+            rest_s=rest_s,
         )
 
     def relay(self, answer: forward.LeafAnswer) -> http1.HttpResponse:
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -151,6 +151,7 @@
         "_opening_count",
         "_pacer",
         "_reactor",
+        "_rests_until",
         "_reuse_policy",
         "_send_timer",
         "_waiting_calls",
@@ -195,6 +196,7 @@
         self.leaving = False
         self.vm_count = vm_count
         self._pacer = rate_limit.RequestPacer(phase=send_phase)
+        self._rests_until = 0.0
         self._send_timer: base.Timer | None = None
         self._contact = contact.LeafContact()
         now = clock.monotonic()
@@ -256,14 +258,24 @@
             self._pacer.rate, vm_count=vm_count, now=self._clock.monotonic()
         )
 
+    def rest(self, seconds: float) -> None:
+        """Send no requests for a time that the leaf has asked for."""
+        until = self._clock.monotonic() + seconds
+        self._rests_until = max(self._rests_until, until)
+        self._end_waiting_calls("leaf has asked for no requests for a while")
+
     def send_wait_s(self) -> float:
-        """Return the seconds until the leaf's limit allows a request."""
-        if self._pacer.rate is None:
+        """Return the seconds until the leaf takes a request from this VM.
+
+        It may limit the rate of requests, or have asked for none for a while.
+        """
+        if self._pacer.rate is None and not self._rests_until:
             return 0.0
-        return self._pacer.wait_s(self._clock.monotonic())
+        now = self._clock.monotonic()
+        return max(self._rests_until - now, self._pacer.wait_s(now))
 
     def notify_when_sendable(self) -> None:
-        """Report capacity once the leaf's limit allows a request."""
+        """Report capacity once the leaf takes a request from this VM."""
         wait_s = self.send_wait_s()
         if wait_s > 0.0 and self._send_timer is None and not self.leaving:
             self._send_timer = self._clock.call_later(
@@ -461,15 +473,17 @@
     def stop_accepting(self) -> None:
         """Stop sending calls; those in flight may complete."""
         self.leaving = True
+        self._end_waiting_calls("leaf is leaving")
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.abort()
+
+    def _end_waiting_calls(self, reason: str) -> None:
         waiting, self._waiting_calls = self._waiting_calls, []
         for call in waiting:
-            reason = "leaf is leaving"
             self._end_call(
                 call, CallResult(end=CallEnd.NOT_SENT, reason=reason)
             )
-        idle, self._idle = self._idle, []
-        for connection in idle:
-            connection.abort()
 
     def close_connections(self) -> None:
         """Close all connections; calls in flight end as lost."""
