A response whose head or trailer never ends is given up

A leaf whose answer has a line that never ends was read until the caller's deadline, and the parser kept the line in memory without bound; interim responses without end were read on as well. The size limits counted only complete headers and the body.

Change: a connection that receives 64 KiB without a complete header or a part of the body, or as much in headers over all interim responses and trailers, ends its request as lost, as one whose body is too large.

The new test on the code before: 5 of 7 cases go on receiving; endless headers and an endless body were bounded.

--- a/trefoilpier/http1/client_connection.py
+++ b/trefoilpier/http1/client_connection.py
@@ -12,9 +12,11 @@
 from trefoilpier import base
 from trefoilpier.http1 import message
 
-# Both limits bound memory and are far above the size of any real response.
+# The limits bound memory and are far above the size of any real response.
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 _MAX_HEADER_BYTES = 64 * 1024
+# Bytes without a complete header or a part of the body, such as one long line.
+_MAX_STALLED_BYTES = 64 * 1024
 # Without probes, a connection that has gone silent or a server that has lost
 # power goes unnoticed. TCP keepalive probes an idle connection every second;
 # TCP_USER_TIMEOUT limits how long sent data may stay unacknowledged.
@@ -99,7 +101,9 @@
         self._on_complete: OutcomeCallback | None = None
         self._headers: message.Headers = []
         self._body: list[bytes] = []
-        self._received_bytes = 0
+        self._header_bytes = 0
+        self._body_bytes = 0
+        self._stalled_bytes = 0
         self._body_until_close = False
         self._in_message = False
         self._keep_alive = True
@@ -162,6 +166,9 @@
         self._method = method
         self._on_complete = on_complete
         self.sent_count += 1
+        self._header_bytes = 0
+        self._body_bytes = 0
+        self._stalled_bytes = 0
         self._write(data)
 
     def _write(self, data: bytes) -> None:
@@ -187,11 +194,14 @@
         if self._on_complete is None:
             self.abort()
             return
+        self._stalled_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             # A response that was complete before the malformed bytes counts.
             self._malformed = True
+        if self._stalled_bytes > _MAX_STALLED_BYTES:
+            self._malformed = True
         if self._responses:
             self._deliver_response()
         elif self._malformed:
@@ -201,19 +211,23 @@
         """Reset the state of the message being parsed."""
         self._headers = []
         self._body = []
-        self._received_bytes = 0
         self._body_until_close = False
         self._in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header, within the size limit."""
-        self._received_bytes += len(name) + len(value)
-        if self._received_bytes > _MAX_HEADER_BYTES:
+        """Collect a header, within the size limit.
+
+        Headers of interim responses and trailers count as well.
+        """
+        self._stalled_bytes = 0
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > _MAX_HEADER_BYTES:
             raise ValueError("response headers too large")
         self._headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
         """Determine the body framing and whether the connection is reusable."""
+        self._stalled_bytes = 0
         self._keep_alive = self._parser.should_keep_alive()
         status = self._parser.get_status_code()
         framed = any(
@@ -233,8 +247,9 @@
 
     def on_body(self, part: bytes) -> None:
         """Collect a part of the body, within the size limit."""
-        self._received_bytes += len(part)
-        if self._received_bytes > _MAX_BODY_BYTES:
+        self._stalled_bytes = 0
+        self._body_bytes += len(part)
+        if self._body_bytes > _MAX_BODY_BYTES:
             raise ValueError("response too large")
         self._body.append(part)
 
--- a/trefoilpier/http1/tests/test_client_connection.py
+++ b/trefoilpier/http1/tests/test_client_connection.py
@@ -187,3 +187,35 @@
     assert len(harness.outcomes) <= 1
     if close is not None:
         assert len(harness.outcomes) == 1
+
+
+ENDLESS_PARTS = {
+    "status line": (b"HTTP/1.1 200 O", b"K" * 1000),
+    "header line": (b"HTTP/1.1 200 OK\r\na: ", b"x" * 1000),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"a: %b\r\n" % (b"x" * 1000)),
+    "interim responses": (
+        b"",
+        b"HTTP/1.1 103 Early Hints\r\na: %b\r\n\r\n" % (b"x" * 1000),
+    ),
+    "chunk extension": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;",
+        b"x" * 1000,
+    ),
+    "trailer": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\na: ",
+        b"x" * 1000,
+    ),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 1_000_000),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS_PARTS)
+def test_response_that_never_ends_is_received_for_ever(name):
+    harness = ConnectionHarness()
+    harness.send()
+    start, part = ENDLESS_PARTS[name]
+    harness.write_response(start)
+    for _ in range(100):
+        harness.write_response(part)
+    assert isinstance(harness.outcomes[0], http1.RequestFailed)
+    assert not harness.connection.open
