Answers that never end no longer fill the memory

Each response is bounded (16 MiB), but not their sum, so some leaves whose bodies never end could take the memory of a VM, which is killed above its limit.

Change: all leaf connections of a VM share 60 MiB for incomplete bodies above 64 KiB; beyond it the largest one is dropped and its call is lost.

--- a/standins/opaque_leaf.py
+++ b/standins/opaque_leaf.py
@@ -5,17 +5,27 @@
 """
 
 import bisect
+import enum
 import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from trefoilpier import base, http1
 
 _RECORD_SIZE_BYTES = 16
+_DRIP_PAUSE_S = 0.05
 _STATUS_UNAVAILABLE = 503
 
 
+class EndlessPart(enum.Enum):
+    """Part of a response that never ends, with the bytes before it."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\nx-filler: "
+    BODY = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n"
+
+
 @dataclass(slots=True, kw_only=True)
 class LeafFaults:
     """Injected faults.
@@ -29,6 +39,9 @@
         extra_share: Share of responses that are sent twice.
         unsigned_share: Share of responses without a signature.
         cut_share: Share of responses that are truncated.
+        endless: Part of each response that never ends; None for responses
+            that do.
+        endless_rate: Bytes a second of such a part.
         paused: Whether the leaf neither starts nor completes requests.
         stopped: The same, independent of pauses.
     """
@@ -40,6 +53,8 @@
     extra_share: float = 0.0
     unsigned_share: float = 0.0
     cut_share: float = 0.0
+    endless: EndlessPart | None = None
+    endless_rate: int = 10_000
     paused: bool = False
     stopped: bool = False
 
@@ -278,6 +293,10 @@
         if draw_random() < self.faults.lose_share:
             connection.abort()
             return
+        if self.faults.endless is not None:
+            connection.transport.write(self.faults.endless.value)
+            self._drip(connection)
+            return
         status = 500 if draw_random() < self.faults.fail_share else 200
         seal = f"{self.id}.{len(self.runs)}.{self._rng.getrandbits(32):08x}"
         headers = [(b"x-server-seal", seal.encode())]
@@ -300,6 +319,14 @@
                 http1.encode_response(response, close=False)
             )
 
+    def _drip(self, connection: Any) -> None:
+        """Write a part of an endless response until the connection ends."""
+        if not connection.transport.connected:
+            return
+        size = int(self.faults.endless_rate * _DRIP_PAUSE_S)
+        connection.transport.write(b"x" * size)
+        self._clock.call_later(_DRIP_PAUSE_S, self._drip, connection)
+
     def _respond(
         self, exchange: http1.Exchange, response: http1.HttpResponse
     ) -> None:
--- a/trefoilpier/http1/__init__.py
+++ b/trefoilpier/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages, client connections and the server for callers."""
 
+from trefoilpier.http1.buffer_budget import BufferBudget
 from trefoilpier.http1.client_connection import (
     ClientConnection,
     ConnectionEvents,
@@ -25,6 +26,7 @@
 )
 
 __all__ = [
+    "BufferBudget",
     "HttpClient",
     "CallerLimits",
     "ClientConnection",
--- a/trefoilpier/http1/client_connection.py
+++ b/trefoilpier/http1/client_connection.py
@@ -10,11 +10,13 @@
 from twisted.internet import error, protocol
 
 from trefoilpier import base
-from trefoilpier.http1 import message
+from trefoilpier.http1 import buffer_budget, message
 
 # The limits bound memory and are far above the size of any real response.
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 _MAX_HEADER_BYTES = 64 * 1024
+# Smaller bodies do not count against the memory that connections share.
+_SHARED_FROM_BYTES = 64 * 1024
 # Bytes without a complete header or a part of the body, such as one long line.
 _MAX_STALLED_BYTES = 64 * 1024
 # Without probes, a connection that has gone silent or a server that has lost
@@ -69,7 +71,7 @@
         """Handle the loss of a connection."""
 
 
-class ClientConnection(protocol.Protocol):
+class ClientConnection(protocol.Protocol, buffer_budget.Buffer):
     """A client connection with at most one request in flight.
 
     If ``id_header`` is set, a response that echoes another id than that of
@@ -91,10 +93,21 @@
         clock: base.Clock,
         events: ConnectionEvents,
         id_header: bytes = b"",
+        buffers: buffer_budget.BufferBudget | None = None,
     ) -> None:
+        """Create a connection that is not open yet.
+
+        Args:
+            clock: Clock of the idle time.
+            events: Called when the state changes.
+            id_header: Name of the header in which a response echoes the
+                request's id; empty for none.
+            buffers: Memory shared with other connections, if it is limited.
+        """
         self._clock = clock
         self._events = events
         self._id_header = id_header
+        self._buffers = buffers
         self._parser: Any = None
         self._request_id = b""
         self._method = b""
@@ -104,6 +117,7 @@
         self._header_bytes = 0
         self._body_bytes = 0
         self._stalled_bytes = 0
+        self._dropped = False
         self._body_until_close = False
         self._in_message = False
         self._keep_alive = True
@@ -169,6 +183,7 @@
         self._header_bytes = 0
         self._body_bytes = 0
         self._stalled_bytes = 0
+        self._dropped = False
         self._write(data)
 
     def _write(self, data: bytes) -> None:
@@ -252,6 +267,15 @@
         if self._body_bytes > _MAX_BODY_BYTES:
             raise ValueError("response too large")
         self._body.append(part)
+        if self._buffers and self._body_bytes > _SHARED_FROM_BYTES:
+            self._buffers.add(self, len(part))
+
+    def drop(self, reason: str) -> None:
+        """Drop the response that is being received, for lack of memory."""
+        self._body = []
+        self._dropped = True
+        # Not at once, since the parser may be running.
+        self._clock.call_later(0.0, self._fail_request, reason)
 
     def on_message_complete(self) -> None:
         """Record a complete response."""
@@ -261,13 +285,14 @@
     def _finish_message(self) -> None:
         self._in_message = False
         status = self._parser.get_status_code()
-        if status < _MIN_FINAL_STATUS:
+        if status < _MIN_FINAL_STATUS or self._dropped:
             return
         response = message.HttpResponse(
             status=status,
             headers=self._headers,
             body=b"".join(self._body),
         )
+        self._release_buffers()
         if not self._matches_request(response):
             # A late response to an earlier request.
             self._out_of_sync = True
@@ -316,6 +341,7 @@
             and self._is_complete_at_close()
         ):
             self._finish_message()
+        self._release_buffers()
         on_complete, self._on_complete = self._on_complete, None
         if on_complete is not None:
             if self._responses:
@@ -334,6 +360,11 @@
             self._in_message and self._body_until_close and not self._malformed
         )
 
+    def _release_buffers(self) -> None:
+        self._body = []
+        if self._buffers and self._body_bytes > _SHARED_FROM_BYTES:
+            self._buffers.release(self)
+
     def _fail_request(self, reason: str) -> None:
         on_complete, self._on_complete = self._on_complete, None
         self.abort()
@@ -348,5 +379,6 @@
     def abort(self) -> None:
         """Close the connection immediately."""
         self.open = False
+        self._release_buffers()
         if self.transport is not None:
             self.transport.abortConnection()
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -140,6 +140,7 @@
     """
 
     __slots__ = (
+        "_buffers",
         "_calls",
         "_clock",
         "_connections",
@@ -173,6 +174,7 @@
         reactor: Any,
         id_header: bytes,
         on_capacity: Callable[["LeafPool"], None],
+        buffers: http1.BufferBudget | None = None,
         reuse: ReusePolicy | None = None,
         policy: policies.LeafPolicy | None = None,
     ) -> None:
@@ -187,10 +189,12 @@
             reactor: Reactor that opens connections.
             id_header: Name of the header in which the leaf echoes an id.
             on_capacity: Called when a call may have become possible.
+            buffers: Memory for incomplete answers, shared by all leaves.
             reuse: Limits on the reuse of idle connections.
             policy: Settings of the leaf's statistics.
         """
         self._reuse_policy = reuse or ReusePolicy()
+        self._buffers = buffers
         self.entry = entry
         self.connections_max = connections_max
         self.leaving = False
@@ -422,7 +426,10 @@
     def make_connection(self) -> http1.ClientConnection:
         """Return the protocol of a new connection."""
         return http1.ClientConnection(
-            clock=self._clock, events=self, id_header=self._id_header
+            clock=self._clock,
+            events=self,
+            id_header=self._id_header,
+            buffers=self._buffers,
         )
 
     def connect_failed(self, reason: str) -> None:
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from trefoilpier import base
+from trefoilpier import base, http1
 from trefoilpier.replicas import departures, pool
 from trefoilpier.replicas import entry as entries
 from trefoilpier.replicas import policy as policies
@@ -24,6 +24,8 @@
 _MASS_EXPIRY_SHARE = 0.25
 # VMs assumed to share a leaf until the fleet's size is known.
 _ASSUMED_VM_COUNT = 12
+# Memory for incomplete answers of all leaves, a fifth of a small VM's.
+_BUFFERED_MAX_BYTES = 60 * 1024 * 1024
 _PHASE_STEPS = 1024  # Resolution of a VM's phase among its fleet.
 _REPLACED_VM_COUNT = 2  # VMs that may be replaced at the same time.
 
@@ -39,6 +41,7 @@
 
     __slots__ = (
         "_announcements",
+        "_buffers",
         "_clock",
         "_connections_max_by_service",
         "_departures",
@@ -95,6 +98,7 @@
         self._grace_until = 0.0
         self._grace_until_by_id: dict[str, float] = {}
         self._departures = departures.Departures(clock=clock)
+        self._buffers = http1.BufferBudget(limit_bytes=_BUFFERED_MAX_BYTES)
         self._announcements = departures.Announcements(clock=clock)
         self.generation = 0
         self.pool_by_id: dict[str, pool.LeafPool] = {}
@@ -268,6 +272,7 @@
             reactor=self._reactor,
             id_header=self._id_header,
             on_capacity=self._on_capacity,
+            buffers=self._buffers,
             reuse=self._reuse_policy,
             policy=self._policy,
         )
