RECOVER: an accepted connection is no contact with a leaf

What callers saw: on VMs whose way to the leaves accepts connections and then hangs or resets them, most requests failed, although the VM had a way over its peers. Cause: a connection that opened counted as contact, so that each second the VM went back to its own leaves until their silence had shown again.

Change: only an answer counts. While a leaf is out of contact, a connection opened in advance sends the service's health check, at most one a second and leaf, and any answer to it brings the leaf back. The first such answer of a service of which this VM reached no leaf ends the ejections of all of them: they were not to blame. Ruled out: to wait whether a connection stays open, which does not tell where it hangs.

--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -92,12 +92,14 @@
     """How a VM is cut off from all leaves.
 
     SILENT loses all packets, RESET resets all connections and refuses new
-    ones, REFUSE refuses new ones only.
+    ones, REFUSE refuses new ones only. ACCEPT accepts new connections, which
+    hang like the open ones.
     """
 
     SILENT = enum.auto()
     RESET = enum.auto()
     REFUSE = enum.auto()
+    ACCEPT = enum.auto()
 
 
 class _ProcessNetwork:
@@ -117,8 +119,12 @@
         self, host: str, port: int, factory: Any, timeout: float = 30.0
     ) -> None:
         """Connect to an address."""
-        recording = _RecordingFactory(wrapped=factory, host=host)
-        if self._cut is not None and recording.is_to_leaf:
+        recording = _RecordingFactory(
+            wrapped=factory, host=host, clock=self._clock
+        )
+        if self._cut is LeafCut.ACCEPT and recording.is_to_leaf:
+            recording.hangs = True
+        elif self._cut is not None and recording.is_to_leaf:
             silent = self._cut is LeafCut.SILENT
             problem = (
                 error.TimeoutError()
@@ -145,7 +151,7 @@
         for factory in self._factories:
             if not factory.is_to_leaf:
                 continue
-            if cut is LeafCut.SILENT:
+            if cut in (LeafCut.SILENT, LeafCut.ACCEPT):
                 factory.silence()
                 self._clock.call_later(_USER_TIMEOUT_S, factory.reset)
             elif cut is LeafCut.RESET:
@@ -162,16 +168,21 @@
 
     noisy = False
 
-    def __init__(self, *, wrapped: Any, host: str) -> None:
+    def __init__(self, *, wrapped: Any, host: str, clock: base.Clock) -> None:
         self._wrapped = wrapped
         self.is_to_leaf = host.startswith(_LEAF_NETWORK)
+        self._clock = clock
         self._ended = False
         self._protocol: Any = None
+        self.hangs = False
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         if self._ended:
             return _ResettingProtocol()
         self._protocol = self._wrapped.buildProtocol(addr)
+        if self.hangs:
+            self._clock.call_later(0.0, self.silence)
+            self._clock.call_later(_USER_TIMEOUT_S, self.reset)
         return self._protocol
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
--- a/standins/opaque_leaf.py
+++ b/standins/opaque_leaf.py
@@ -17,6 +17,7 @@
 _RECORD_SIZE_BYTES = 16
 _DRIP_PAUSE_S = 0.05
 _STATUS_UNAVAILABLE = 503
+_HEALTH_PATH = b"/health"  # Of all services in `published_protocol`.
 
 
 class EndlessPart(enum.Enum):
@@ -225,6 +226,9 @@
         """Start, queue or reject a request."""
         self.requests.append(exchange.request)
         self.request_times.append(self._clock.monotonic())
+        if exchange.request.target == _HEALTH_PATH:
+            self._answer_health_check(exchange)
+            return
         headers = exchange.request.headers
         expected = http1.find_header(headers, b"x-expect-instance")
         if expected is not None and expected != self.id.encode():
@@ -240,6 +244,10 @@
         exchange.on_disconnect = lambda: self._on_caller_disconnect(exchange)
         self._start_next()
 
+    def _answer_health_check(self, exchange: http1.Exchange) -> None:
+        if not self.faults.held_up:
+            self._respond(exchange, http1.HttpResponse(status=200))
+
     def _on_caller_disconnect(self, exchange: http1.Exchange) -> None:
         if exchange in self._queue:
             self._queue.remove(exchange)
--- a/trefoilpier/replicas/contact.py
+++ b/trefoilpier/replicas/contact.py
@@ -8,14 +8,14 @@
     """Contact of one VM with one leaf.
 
     A leaf is out of contact after a failure to connect, or once calls have
-    waited for it for some time, until it gives a sign of life: an answer or a
-    new connection. It counts only time in which a call was in flight.
+    waited for it for some time, until it answers. It counts only time in which
+    a call was in flight.
 
     >>> contact = LeafContact()
     >>> contact.start_wait(10.0)
     >>> contact.is_lost(10.3), contact.is_lost(10.5)
     (False, True)
-    >>> contact.record_sign_of_life(10.6)
+    >>> contact.record_answer(10.6)
     >>> contact.is_lost(10.6)
     False
     """
@@ -41,14 +41,14 @@
         if not self._waiting_count:
             self._silent_s += now - self._waits_at
 
-    def record_sign_of_life(self, now: float) -> None:
-        """Record an answer or a new connection."""
+    def record_answer(self, now: float) -> None:
+        """Record an answer."""
         self._connect_failed = False
         self._silent_s = 0.0
         self._waits_at = now
 
     def record_connect_failure(self) -> None:
-        """Record a failure to connect."""
+        """Record a failure to connect, or a new connection without answer."""
         self._connect_failed = True
 
     def is_lost(self, now: float) -> bool:
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -19,6 +19,7 @@
 # Leaves may close an idle connection without notice.
 _NON_REPEATABLE_IDLE_S = 0.5
 _OVERDUE_FACTOR = 3.0  # Multiple of the median latency that few calls exceed.
+_PROBE_TIMEOUT_S = 0.4  # Longer than the pauses of a leaf.
 _WARM_UP_RETRY_S = 1.0  # Interval between attempts to connect in advance.
 
 
@@ -135,6 +136,8 @@
         entry: Registry entry of the leaf.
         stats: Latency, failures and load of the leaf.
         connections_max: This VM's share of the leaf's connections.
+        health_request: Encoded health check, which tells whether a leaf that
+            was out of contact answers again; None if the service has none.
         leaving: Whether the leaf gets no new requests.
         vm_count: VMs that share the leaf's limit on the rate of requests.
     """
@@ -149,6 +152,7 @@
         "_idle",
         "_next_warm_up_at",
         "_on_capacity",
+        "_on_regained",
         "_opening_count",
         "_pacer",
         "_reactor",
@@ -158,6 +162,7 @@
         "_waiting_calls",
         "connections_max",
         "entry",
+        "health_request",
         "leaving",
         "stats",
         "vm_count",
@@ -174,6 +179,7 @@
         reactor: Any,
         id_header: bytes,
         on_capacity: Callable[["LeafPool"], None],
+        on_regained: Callable[["LeafPool"], None],
         buffers: http1.BufferBudget | None = None,
         reuse: ReusePolicy | None = None,
         policy: policies.LeafPolicy | None = None,
@@ -189,6 +195,8 @@
             reactor: Reactor that opens connections.
             id_header: Name of the header in which the leaf echoes an id.
             on_capacity: Called when a call may have become possible.
+            on_regained: Called when a leaf out of contact answers a health
+                check.
             buffers: Memory for incomplete answers, shared by all leaves.
             reuse: Limits on the reuse of idle connections.
             policy: Settings of the leaf's statistics.
@@ -197,6 +205,7 @@
         self._buffers = buffers
         self.entry = entry
         self.connections_max = connections_max
+        self.health_request: bytes | None = None
         self.leaving = False
         self.vm_count = vm_count
         self._pacer = rate_limit.RequestPacer(phase=send_phase)
@@ -213,6 +222,7 @@
         self._reactor = reactor
         self._id_header = id_header
         self._on_capacity = on_capacity
+        self._on_regained = on_regained
         self._connections: set[http1.ClientConnection] = set()
         self._idle: list[http1.ClientConnection] = []
         self._opening_count = 0
@@ -377,7 +387,7 @@
             if isinstance(outcome, http1.RequestFailed):
                 result = CallResult(end=CallEnd.LOST, reason=outcome.reason)
             else:
-                self._contact.record_sign_of_life(self._clock.monotonic())
+                self._contact.record_answer(self._clock.monotonic())
                 result = CallResult(
                     end=CallEnd.ANSWERED, response=outcome.response
                 )
@@ -448,13 +458,50 @@
             )
 
     def opened(self, connection: http1.ClientConnection) -> None:
-        """Assign a new connection to the call that has waited longest."""
+        """Assign a new connection to the call that has waited longest.
+
+        While the leaf is out of contact, a connection proves little: something
+        on the way may have accepted it. Without a call, it is probed first.
+        """
         self._opening_count -= 1
         self._connections.add(connection)
-        self.stats.record_connected()
-        self._contact.record_sign_of_life(self._clock.monotonic())
+        lost = self._contact.is_lost(self._clock.monotonic())
+        if lost and self.health_request and not self._waiting_calls:
+            self._probe(connection, self.health_request)
+            return
+        self._handle_contact()
         self._assign(connection)
 
+    def _handle_contact(self) -> None:
+        self.stats.record_connected()
+        self._contact.record_answer(self._clock.monotonic())
+
+    def _probe(
+        self, connection: http1.ClientConnection, health_request: bytes
+    ) -> None:
+        """Send a health check, of which any answer shows contact."""
+        timer = self._clock.call_later(
+            _PROBE_TIMEOUT_S, self._give_up_probe, connection
+        )
+
+        def ended(
+            outcome: http1.ResponseReceived | http1.RequestFailed,
+        ) -> None:
+            timer.cancel()
+            if isinstance(outcome, http1.ResponseReceived):
+                self._on_regained(self)
+                self._handle_contact()
+            else:
+                self._contact.record_connect_failure()
+
+        connection.send(
+            health_request, method=b"GET", request_id=b"", on_complete=ended
+        )
+
+    def _give_up_probe(self, connection: http1.ClientConnection) -> None:
+        self._contact.record_connect_failure()
+        connection.cancel_request()
+
     def freed(self, connection: http1.ClientConnection) -> None:
         """Assign a free connection to the call that has waited longest."""
         self._assign(connection)
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -45,6 +45,7 @@
         "_clock",
         "_connections_max_by_service",
         "_departures",
+        "_health_request_by_service",
         "_grace_until",
         "_grace_until_by_id",
         "_id_header",
@@ -94,6 +95,7 @@
         self._id_header = id_header
         self._on_capacity = on_capacity
         self._connections_max_by_service: dict[str, int] = {}
+        self._health_request_by_service: dict[str, bytes] = {}
         self._vm_count = _ASSUMED_VM_COUNT
         self._grace_until = 0.0
         self._grace_until_by_id: dict[str, float] = {}
@@ -112,6 +114,14 @@
                 leaf_pool.entry.service
             )
 
+    def set_health_requests(self, request_by_service: dict[str, bytes]) -> None:
+        """Set the encoded health check of each service's leaves."""
+        self._health_request_by_service.update(request_by_service)
+        for leaf_pool in self.pool_by_id.values():
+            leaf_pool.health_request = self._health_request_by_service.get(
+                leaf_pool.entry.service
+            )
+
     def set_vm_count(self, count: int) -> None:
         """Set the number of VMs that share each leaf's connections."""
         self._vm_count = count
@@ -272,10 +282,14 @@
             reactor=self._reactor,
             id_header=self._id_header,
             on_capacity=self._on_capacity,
+            on_regained=self._handle_regained,
             buffers=self._buffers,
             reuse=self._reuse_policy,
             policy=self._policy,
         )
+        added.health_request = self._health_request_by_service.get(
+            entry.service
+        )
         self.generation += 1
         self.pool_by_id[entry.id] = added
         self.pools_by_service.setdefault(entry.service, []).append(added)
@@ -292,6 +306,16 @@
         hashed = base.stable_hash(f"{self._vm_id}/{leaf_id}")
         return (hashed % _PHASE_STEPS) / _PHASE_STEPS
 
+    def _handle_regained(self, regained: pool.LeafPool) -> None:
+        """End the ejections of a service that was out of contact.
+
+        Its leaves were not to blame: this VM had no path to them.
+        """
+        service = regained.entry.service
+        if self.is_out_of_contact(service):
+            for service_pool in self.pools_by_service[service]:
+                service_pool.stats.end_ejection()
+
     def _remove(self, leaf_id: str, reason: str) -> None:
         removed = self.pool_by_id.pop(leaf_id, None)
         if removed is None:
--- a/trefoilpier/replicas/state.py
+++ b/trefoilpier/replicas/state.py
@@ -161,8 +161,11 @@
 
         It ends an ejection for failures to connect. Other failures may go on.
         """
-        if not self._failed_to_connect:
-            return
+        if self._failed_to_connect:
+            self.end_ejection()
+
+    def end_ejection(self) -> None:
+        """End an ejection, whatever caused it."""
         self._failed_to_connect = False
         self._consecutive_failures = 0
         self._ejection_s = _EJECTION_MIN_S
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -286,6 +286,17 @@
                 for service in table.service_by_name.values()
             }
         )
+        self._leaf_registry.set_health_requests(
+            {
+                service.name: http1.encode_request(
+                    b"GET",
+                    service.health_path.encode(),
+                    headers=[(b"host", service.name.encode())],
+                    body=b"",
+                )
+                for service in table.service_by_name.values()
+            }
+        )
         limits = [
             service.connections_max
             for service in table.service_by_name.values()
