Soak cuts VMs off from the leaves; the fuzz judges VMs in touch

The soak's VMs connect from their own addresses, so that links tell them apart. It cuts VMs at random, and once after the recovery without other faults, which is judged by the platform's rule.

--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -33,6 +33,9 @@
 _REPLICAS_MIN = 2  # Leaves that a shard keeps.
 _RATE_LIMIT_RANGE = (1.0, 8.0)  # Requests a second that a leaf names.
 _LIMIT_RANGE_S = (5.0, 9.0)  # Time for which it names them.
+# The platform judges a VM from this time after its start.
+_CONTACT_S = 4.0
+_TIMEOUT_MAX_S = 1.5  # Of a request that a kill may cut off.
 # Long enough for the platform to judge the VMs that are cut off.
 _CUT_RANGE_S = (7.0, 10.0)
 # A leaf gets no new requests this long after it announced that it leaves, if
@@ -67,6 +70,7 @@
     __slots__ = (
         "_log",
         "_next_replica",
+        "_outages_by_vm",
         "_rng",
         "_cuts",
         "_started_at",
@@ -96,7 +100,12 @@
         # Start and end of each time in which the store was not stable.
         self._store_trouble: list[tuple[float, float]] = []
         self._cuts: list[_Cut] = []
-        self._starts: list[float] = []  # Times at which VMs were started.
+        # Times at which VMs were started, and the time of each kill with the
+        # start that followed, by VM.
+        self._starts: list[float] = []
+        self._outages_by_vm: dict[str, list[tuple[float, float]]] = (
+            collections.defaultdict(list)
+        )
         self.applied: list[str] = []
 
     def run(self) -> list[str]:
@@ -141,7 +150,9 @@
             return
         vm.kill()
         delay_s = self._rng.uniform(*_RESTART_RANGE_S)
-        self._starts.append(self.fleet.clock.monotonic() + delay_s)
+        now = self.fleet.clock.monotonic()
+        self._starts.append(now + delay_s)
+        self._outages_by_vm[vm.name].append((now, now + delay_s))
         self.fleet.clock.call_later(delay_s, vm.start)
 
     def _kill_vm(self) -> str:
@@ -279,7 +290,7 @@
             )
         for cut in self._cuts:
             yield from leaf_rules.cut_violations(
-                self.fleet.answers,
+                filter(self._was_in_touch, self.fleet.answers),
                 cut_vms=cut.vms,
                 start=cut.start,
                 end=cut.end,
@@ -329,6 +340,13 @@
             if late_s > _DRAIN_S:
                 yield f"leaf {leaf_id} got a request {late_s:.1f} s after"
 
+    def _was_in_touch(self, answer: memory_fleet.FleetAnswer) -> bool:
+        """Return whether the VM of a request had run for long enough."""
+        return not any(
+            killed_at - _TIMEOUT_MAX_S <= answer.sent_at <= start + _CONTACT_S
+            for killed_at, start in self._outages_by_vm[answer.vm]
+        )
+
     def _was_unstable(self, left_at: float) -> bool:
         """Return whether the store was not stable when a leaf announced."""
         return any(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -30,9 +30,10 @@
     violations += _check_answers(environment, requests)
     violations += _check_leaving(environment, applied)
     violations += _check_rate_limits(environment, applied)
+    violations += _check_planned_cut(requests, applied)
     violations += _check_planned_stops(environment, requests, applied)
     violations += _check_route_updates(environment, requests, applied)
-    violations += _check_recovery(requests, recovered_at)
+    violations += _check_recovery(requests, recovered_at, applied)
     for vm in environment.vms:
         if vm.unexpected_exits:
             violations.append(
@@ -164,6 +165,34 @@
             )
 
 
+def _planned_cuts(
+    applied: Sequence[faults.AppliedFault],
+) -> list[faults.AppliedFault]:
+    return [
+        fault
+        for fault in applied
+        if faults.CUT_FROM_LEAVES in fault.name
+        and fault.name.endswith(faults.PLANNED)
+    ]
+
+
+def _check_planned_cut(
+    requests: list[callers.RequestRecord],
+    applied: Sequence[faults.AppliedFault],
+) -> Iterable[str]:
+    """Check that callers of VMs without a path to leaves are served."""
+    cuts = _planned_cuts(applied)
+    if not cuts:
+        return
+    start = max(fault.started_at for fault in cuts)
+    yield from leaf_rules.cut_violations(
+        requests,
+        cut_vms=[fault.name.split()[0] for fault in cuts],
+        start=start,
+        end=start + cuts[0].duration_s,
+    )
+
+
 def _check_rate_limits(
     environment: tier_world.TierEnvironment,
     applied: Sequence[faults.AppliedFault],
@@ -263,10 +292,22 @@
 
 
 def _check_recovery(
-    requests: list[callers.RequestRecord], recovered_at: float
+    requests: list[callers.RequestRecord],
+    recovered_at: float,
+    applied: Sequence[faults.AppliedFault],
 ) -> Iterable[str]:
+    """Check that requests succeed again; a planned cut is judged apart."""
+    cuts = _planned_cuts(applied)
     later_requests = [
-        request for request in requests if request.sent_at >= recovered_at
+        request
+        for request in requests
+        if request.sent_at >= recovered_at
+        and not any(
+            fault.started_at
+            <= request.sent_at
+            <= fault.started_at + fault.duration_s
+            for fault in cuts
+        )
     ]
     success_count = sum(request.status == 200 for request in later_requests)
     if not later_requests or success_count < _RECOVERED_SHARE_MIN * len(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,10 @@
 
 from standins import link_proxy, opaque_leaf, tier_world
 
-PLANNED_STOP = "planned stop"
+PLANNED = "planned"
+PLANNED_STOP = f"{PLANNED} stop"
+CUT_FROM_LEAVES = "cut from leaves"
+_CUTS = (link_proxy.LinkFault.SILENT, link_proxy.LinkFault.REFUSE)
 # Makes requests take some hundred milliseconds, so that some are in flight
 # when the VM is stopped.
 _SLOWDOWN_FACTOR = 10.0
@@ -90,6 +93,7 @@
         for vm in self._environment.vms:
             vm.send_signal(signal.SIGCONT)
             vm.store_link.fault = link_proxy.LinkFault.NONE
+            self._environment.cut_from_leaves(vm, link_proxy.LinkFault.NONE)
         for world_leaf in self._environment.leaf_by_id.values():
             world_leaf.link.fault = link_proxy.LinkFault.NONE
             world_leaf.leaf.faults = opaque_leaf.LeafFaults()
@@ -115,6 +119,7 @@
             self._set_leaf_faults,
             self._drain_leaf,
             self._limit_leaf_rate,
+            self._cut_vm_from_leaves,
             self._reshard,
             self._pause_shard,
         )
@@ -250,6 +255,32 @@
         self._end_after(seconds, end)
         return f"{len(affected)} leaves {name}"
 
+    def _cut_vm_from_leaves(self, seconds: float) -> str:
+        vm = self._rng.choice(self._environment.vms)
+        return self._cut(vm, seconds)
+
+    def _cut(self, vm: tier_world.Vm, seconds: float) -> str:
+        fault = self._rng.choice(_CUTS)
+        self._environment.cut_from_leaves(vm, fault)
+        reactor.callLater(
+            seconds,
+            self._environment.cut_from_leaves,
+            vm,
+            link_proxy.LinkFault.NONE,
+        )
+        return f"{vm.name} {CUT_FROM_LEAVES} ({fault.name.lower()})"
+
+    def planned_cut(self, seconds: float) -> None:
+        """Cut some VMs off from the leaves, without other faults."""
+        vms = self._environment.vms
+        for vm in self._rng.sample(vms, self._rng.randint(1, len(vms) - 1)):
+            name = f"{self._cut(vm, seconds)}, {PLANNED}"
+            self.applied.append(
+                AppliedFault(
+                    name=name, started_at=self._now(), duration_s=seconds
+                )
+            )
+
     def _drain_leaf(self, seconds: float) -> str:
         leaf_instance = self._rng.choice(self._environment.live_leaves)
         self._environment.drain(leaf_instance)
--- a/soak/main.py
+++ b/soak/main.py
@@ -17,6 +17,8 @@
 
 _RECOVERY_S = 8.0  # The users allow 12 s; VMs start within 1 s here.
 _JUDGED_S = 3.0  # Period after the recovery in which requests must succeed.
+_PLANNED_CUT_S = 7.0  # Period in which some VMs do not reach the leaves.
+_PLANNED_CUT_END_S = 2.0  # Time to be back on their own paths.
 _PLANNED_STOP_S = 4.0  # Period in which one VM is stopped with SIGTERM.
 _FINAL_WAIT_S = 3.0  # Time for the requests in flight to end.
 _OPEN_FILES_MAX = 4096  # Connections have both ends in this process.
@@ -66,6 +68,8 @@
     await _wait(_RECOVERY_S)
     recovered_at = clock.monotonic()
     await _wait(_JUDGED_S)
+    injector.planned_cut(_PLANNED_CUT_S)
+    await _wait(_PLANNED_CUT_S + _PLANNED_CUT_END_S)
     injector.planned_stop()
     await _wait(_PLANNED_STOP_S)
     load.stopped = True
@@ -114,6 +118,8 @@
         + args.seconds
         + _RECOVERY_S
         + _JUDGED_S
+        + _PLANNED_CUT_S
+        + _PLANNED_CUT_END_S
         + _PLANNED_STOP_S
         + _FINAL_WAIT_S
     )
--- a/standins/tier_world.py
+++ b/standins/tier_world.py
@@ -107,7 +107,7 @@
         self._process = reactor.spawnProcess(
             _VmProcess(vm=self),
             sys.executable,
-            [sys.executable, "-m", "trefoilpier.tier"],
+            [sys.executable, "-m", "standins.tier_process", self.ports.host],
             env=env,
             path=str(ROOT),
         )
@@ -189,6 +189,7 @@
         self._base_port = base_port
         self._clock = base.ReactorClock(reactor=reactor)
         self.model = platform_model.PlatformModel(clock=self._clock)
+        self._leaf_fault_by_vm_host: dict[str, link_proxy.LinkFault] = {}
         self.leaf_by_id: dict[str, LeafInstance] = {}
         self.shard_sets: list[tuple[str, ...]] = []
         self.shard_set_written_at: list[float] = []
@@ -310,7 +311,10 @@
         host = f"127.2.{high}.{low + 1}"
         link_host = f"127.3.{high}.{low + 1}"
         reactor.listenTCP(self._base_port, leaf.factory(), interface=host)
-        link = link_proxy.FaultProxy(target=(host, self._base_port))
+        link = link_proxy.FaultProxy(
+            target=(host, self._base_port),
+            fault_by_source=self._leaf_fault_by_vm_host,
+        )
         reactor.listenTCP(self._base_port, link, interface=link_host)
         new_instance = LeafInstance(
             leaf=leaf,
@@ -322,6 +326,17 @@
         self.leaf_by_id[leaf_id] = new_instance
         self._write_entry(new_instance)
 
+    def cut_from_leaves(self, vm: Vm, fault: link_proxy.LinkFault) -> None:
+        """Put a fault on all links of a VM to leaves, or end it with NONE.
+
+        The end of a fault that drops bytes resets the connections.
+        """
+        previous = self._leaf_fault_by_vm_host.get(vm.ports.host)
+        self._leaf_fault_by_vm_host[vm.ports.host] = fault
+        if previous is link_proxy.LinkFault.SILENT:
+            for leaf_instance in self.leaf_by_id.values():
+                leaf_instance.link.reset_all(vm.ports.host)
+
     def _write_entry(self, instance: LeafInstance) -> None:
         self.model.put(
             published_protocol.LEAF_PREFIX + instance.leaf.id,
