--- a/bench/tier.py
+++ b/bench/tier.py
@@ -12,8 +12,8 @@
 from twisted.internet import defer, reactor
 
 from bench import cost, figures
-from standins import published_protocol, tier_world
-from trefoilpier import base, http1
+from standins import memory_net, published_protocol, tier_world
+from trefoilpier import base, fleet, http1, replicas
 from trefoilpier.tier import line_log
 
 _START_S = 2.5  # The VM starts and reads the store in about 1 s.
@@ -22,12 +22,18 @@
 _CONCURRENCY = 4
 _TIMEOUT_MS = 1500
 _LOG_LINES = 20_000
+_REACH_SERVICES = (105, 1000)
+_REACH_CHECKS_S = 20.0
 _CASES = (("read", "/r/", 2), ("gather", "/g/", 10), ("gather", "/g/", 15))
 
 
 def jobs() -> list[tuple]:
     """Return the experiments, each a function with its arguments."""
-    return [(measure, *case) for case in _CASES] + [(measure_lines,)]
+    return [
+        *[(measure, *case) for case in _CASES],
+        (measure_lines,),
+        *[(measure_reach_check, services) for services in _REACH_SERVICES],
+    ]
 
 
 def measure(kind: str, path: str, shards: int) -> Iterator[figures.Figure]:
@@ -82,6 +88,50 @@
     )
 
 
+def measure_reach_check(services: int) -> Iterator[figures.Figure]:
+    """Measure one check of which services of three leaves a VM reaches."""
+    clock = base.VirtualClock()
+    registry = replicas.LeafRegistry(
+        clock=clock,
+        log=base.NullEventLog(),
+        reactor=memory_net.MemoryReactor(clock=clock),
+        id_header=b"",
+        on_capacity=lambda pool: None,
+    )
+    names = frozenset(f"shard{k}" for k in range(services))
+    for name in names:
+        for replica in range(3):
+            registry.put(
+                replicas.LeafEntry(
+                    id=f"{name}-{replica}",
+                    incarnation=1,
+                    service=name,
+                    host="10.0.0.1",
+                    port=80,
+                    zone="z1",
+                    slots=2,
+                    phase=replicas.LeafPhase.READY,
+                )
+            )
+    reach = fleet.ServiceReach(
+        clock=clock,
+        log=base.NullEventLog(),
+        registry=registry,
+        get_services=lambda: names,
+        on_change=lambda: None,
+    )
+    reach.start()
+    cpu_start = time.process_time()
+    clock.advance(_REACH_CHECKS_S)
+    cpu_used = time.process_time() - cpu_start
+    yield figures.Figure(
+        name=f"tier reach check {services} services/processor",
+        value=cpu_used / _REACH_CHECKS_S * 1e3,
+        unit="ms a second",
+        kind="process",
+    )
+
+
 async def _send_all(vm: tier_world.Vm, path: str, count: int, name: str) -> int:
     """Send requests in batches and return the number of successes."""
     client = http1.HttpClient(
