RECOVER: new connections that are reset without an answer are no contact

What callers saw: on VMs whose new connections to the leaves open and are reset, most requests failed with 502 or 503, although the VM had a way over its peers. Cause: only time in flight and failures to connect counted, and such a connection has neither.

Change: a call lost on a connection that has never brought an answer counts like a failure to connect. The loss of a used connection still tells nothing.

--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -385,6 +385,9 @@
         ) -> None:
             call.connection = None
             if isinstance(outcome, http1.RequestFailed):
+                if connection.sent_count == 1:
+                    # A new connection that brought no answer.
+                    self._contact.record_connect_failure()
                 result = CallResult(end=CallEnd.LOST, reason=outcome.reason)
             else:
                 self._contact.record_answer(self._clock.monotonic())
