--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -239,3 +239,30 @@
     # A VM that starts is told only by the leaf's first answer.
     starts = [12.0] * 5
     assert not list(leaf_rules.rate_limit_violations(leaf, vm_starts=starts))
+
+
+@pytest.mark.parametrize(
+    ("status", "planned", "found"),
+    [(503, True, True), (200, True, False), (503, False, False)],
+)
+def test_refused_callers_of_vms_cut_from_leaves_are_found(
+    status, planned, found
+):
+    name = f"vm {faults.CUT_FROM_LEAVES} (silent)"
+    fault = faults.AppliedFault(
+        name=f"{name}, {faults.PLANNED}" if planned else name,
+        started_at=10.0,
+        duration_s=7.0,
+    )
+    requests = []
+    for k in range(30):
+        for vm, answered in (("vm", status), ("other", 200)):
+            request = make_request(f"{vm}{k}", status=answered, kind="r")
+            request.vm, request.sent_at = vm, 14.0 + k / 10
+            requests.append(request)
+    lines = checks._check_planned_cut(requests, [fault])
+    assert bool(list(lines)) is found
+    # Refusals before the platform judges the cut VMs do not count.
+    for request in requests:
+        request.sent_at -= 3.0
+    assert not list(checks._check_planned_cut(requests, [fault]))
