--- a/standins/memory_tier.py
+++ b/standins/memory_tier.py
@@ -187,6 +187,18 @@
             timeout_s=wait_s + 1.0,
         ).addCallback(on_outcome)
 
+    def run_load(self, name: str, *, seconds: float, rate: float) -> None:
+        """Send requests at a constant rate for some seconds.
+
+        Args:
+            name: First part of the requests' ids.
+            seconds: Length of the load.
+            rate: Requests a second.
+        """
+        for k in range(int(seconds * rate)):
+            self.send_request(f"{name}-{k}")
+            self.clock.advance(1 / rate)
+
     def runs_of(self, request_id: str) -> int:
         """Return how often the leaves executed a request."""
         return sum(
@@ -222,3 +234,12 @@
         min_coverage=least,
     )
     return make_route(targets=(), gather=gather, **changes)
+
+
+def make_with_one_service(leaves: int) -> MemoryTier:
+    """Return a VM with a route to one service of some leaves."""
+    tier = MemoryTier()
+    tier.set_routes(make_route())
+    for k in range(leaves):
+        tier.add_leaf("s", f"leaf{k}")
+    return tier
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -464,7 +464,8 @@
         """Assign a new connection to the call that has waited longest.
 
         While the leaf is out of contact, a connection proves little: something
-        on the way may have accepted it. Without a call, it is probed first.
+        on the way may have accepted it. It is probed first, unless a call
+        waits for it, which shows as much.
         """
         self._opening_count -= 1
         self._connections.add(connection)
--- a/trefoilpier/tier/tests/test_leaf_rests.py
+++ b/trefoilpier/tier/tests/test_leaf_rests.py
@@ -8,33 +8,20 @@
 # the leaf wants requests again.
 _MARGIN_S = 0.5
 _REQUESTS_MAX = 2
-
-
-def make_tier(leaves=3):
-    tier = memory_tier.MemoryTier()
-    tier.set_routes(memory_tier.make_route())
-    for k in range(leaves):
-        tier.add_leaf("s", f"leaf{k}")
-    return tier
-
-
-def run_load(tier, name, *, seconds):
-    for k in range(int(seconds * 50)):
-        tier.send_request(f"{name}-{k}")
-        tier.clock.advance(0.02)
+_RATE = 50.0  # Requests a second.
 
 
 @pytest.mark.parametrize("leaves", [1, 3])
 @pytest.mark.parametrize("rest_s", [1.5, 4.0])
 def test_leaf_that_asked_for_rest_gets_requests_before_its_end(leaves, rest_s):
-    tier = make_tier(leaves)
+    tier = memory_tier.make_with_one_service(leaves)
     leaf = tier.leaf_by_id["leaf0"]
     leaf.rest_s, leaf.faults.shed_share = rest_s, 1.0
     while not leaf.refused:
-        run_load(tier, f"told{len(tier.answers)}", seconds=0.02)
+        tier.run_load(f"told{len(tier.answers)}", seconds=0.02, rate=_RATE)
     told_at = leaf.last_request_at
     leaf.faults.shed_share = 0.0
-    run_load(tier, "after", seconds=rest_s + 10.0)
+    tier.run_load("after", seconds=rest_s + 10.0, rate=_RATE)
     early = [
         at
         for at in leaf.request_times
@@ -48,17 +35,17 @@
 
 
 def test_request_waits_in_vain_for_leaves_that_all_asked_for_rest():
-    tier = make_tier(leaves=2)
+    tier = memory_tier.make_with_one_service(2)
     for leaf in tier.leaves_of("s"):
         leaf.rest_s, leaf.faults.shed_share = 3.0, 1.0
-    run_load(tier, "told", seconds=1.0)
+    tier.run_load("told", seconds=1.0, rate=_RATE)
     tier.send_request("late", wait_s=1.0)
     tier.clock.advance(0.05)
     assert tier.answers["late"].status == 503
 
 
 def test_request_is_refused_although_a_leaf_takes_it_in_time():
-    tier = make_tier(leaves=1)
+    tier = memory_tier.make_with_one_service(1)
     leaf = tier.leaf_by_id["leaf0"]
     leaf.rest_s, leaf.faults.shed_share = 0.5, 1.0
     tier.send_request("told")
