--- a/trefoilpier/replicas/__init__.py
+++ b/trefoilpier/replicas/__init__.py
@@ -1,15 +1,15 @@
 """Leaf registry, statistics, connection pools and load balancing."""
 
-from trefoilpier.replicas.choice import LeafChooser
-from trefoilpier.replicas.entry import LeafEntry, LeafPhase
-from trefoilpier.replicas.policy import LeafPolicy
-from trefoilpier.replicas.pool import (
+from trefoilpier.replicas.call import (
     CallEnd,
     CallResult,
     LeafCall,
-    LeafPool,
     ReusePolicy,
 )
+from trefoilpier.replicas.choice import LeafChooser
+from trefoilpier.replicas.entry import LeafEntry, LeafPhase
+from trefoilpier.replicas.policy import LeafPolicy
+from trefoilpier.replicas.pool import LeafPool
 from trefoilpier.replicas.registry import LeafRegistry
 from trefoilpier.replicas.state import LeafLoad, LeafStats
 
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -1,13 +1,12 @@
 """Connections to one leaf and the requests in flight on them."""
 
-import enum
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet import protocol
 
 from trefoilpier import base, http1
+from trefoilpier.replicas import call as calls
 from trefoilpier.replicas import contact, rate_limit, state
 from trefoilpier.replicas import entry as entries
 from trefoilpier.replicas import policy as policies
@@ -15,105 +14,11 @@
 # A leaf accepts a connection only when a slot is free for its handshake.
 _CONNECT_TIMEOUT_S = 0.4
 _REUSE_MARGIN_S = 0.3  # The server's idle timer may expire earlier than ours.
-_REUSE_IDLE_S = 4.0  # Used when the leaf states no idle timeout.
-# Leaves may close an idle connection without notice.
-_NON_REPEATABLE_IDLE_S = 0.5
 _OVERDUE_FACTOR = 3.0  # Multiple of the median latency that few calls exceed.
 _PROBE_TIMEOUT_S = 0.4  # Longer than the pauses of a leaf.
 _WARM_UP_RETRY_S = 1.0  # Interval between attempts to connect in advance.
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ReusePolicy:
-    """Maximum idle time of a connection that is reused.
-
-    Attributes:
-        idle_s: Seconds for a repeatable call.
-        non_repeatable_idle_s: Seconds for a call that is not repeatable.
-            After a connection reset it is unknown whether the leaf ran it.
-    """
-
-    idle_s: float = _REUSE_IDLE_S
-    non_repeatable_idle_s: float = _NON_REPEATABLE_IDLE_S
-
-
-class CallEnd(enum.Enum):
-    """Outcome of a call to a leaf."""
-
-    ANSWERED = enum.auto()
-    NOT_SENT = enum.auto()
-    LOST = enum.auto()
-
-
-@dataclass(slots=True, kw_only=True)
-class CallResult:
-    """Result of a call.
-
-    Attributes:
-        end: Outcome of the call.
-        response: The leaf's response, if it answered.
-        reason: Why there is no response.
-    """
-
-    end: CallEnd
-    response: http1.HttpResponse | None = None
-    reason: str = ""
-
-
-class LeafCall:
-    """One request to one leaf.
-
-    Attributes:
-        sent_at: Monotonic time of sending; 0 before.
-        on_end: Called once with the result.
-    """
-
-    __slots__ = (
-        "connection",
-        "done",
-        "encode_request",
-        "median_latency_s",
-        "method",
-        "on_end",
-        "repeatable",
-        "request_id",
-        "sent_at",
-        "started_at",
-    )
-
-    def __init__(
-        self,
-        *,
-        method: bytes,
-        request_id: bytes,
-        repeatable: bool,
-        median_latency_s: float,
-        encode_request: Callable[[], bytes | None],
-        on_end: Callable[["LeafCall", CallResult], None],
-    ) -> None:
-        """Create the call.
-
-        Args:
-            method: Request method.
-            request_id: Id that the leaf echoes.
-            repeatable: Whether the request may run more than once.
-            median_latency_s: Median latency of the route's calls in seconds.
-            encode_request: Called when the request is about to be sent.
-                Returns None if it need not be sent any more.
-            on_end: Called once with the result.
-        """
-        self.method = method
-        self.request_id = request_id
-        self.repeatable = repeatable
-        self.median_latency_s = median_latency_s
-        self.encode_request = encode_request
-        self.on_end = on_end
-        self.connection: http1.ClientConnection | None = None
-        self.sent_at = 0.0
-        self.started_at = 0.0
-        self.done = False
-
-
 class _LeafFactory(protocol.ClientFactory):
     """Factory of one connection, which reports a failure to connect."""
 
@@ -181,7 +86,7 @@
         on_capacity: Callable[["LeafPool"], None],
         on_regained: Callable[["LeafPool"], None],
         buffers: http1.BufferBudget | None = None,
-        reuse: ReusePolicy | None = None,
+        reuse: calls.ReusePolicy | None = None,
         policy: policies.LeafPolicy | None = None,
     ) -> None:
         """Create a pool without connections.
@@ -201,7 +106,7 @@
             reuse: Limits on the reuse of idle connections.
             policy: Settings of the leaf's statistics.
         """
-        self._reuse_policy = reuse or ReusePolicy()
+        self._reuse_policy = reuse or calls.ReusePolicy()
         self._buffers = buffers
         self.entry = entry
         self.connections_max = connections_max
@@ -226,8 +131,8 @@
         self._connections: set[http1.ClientConnection] = set()
         self._idle: list[http1.ClientConnection] = []
         self._opening_count = 0
-        self._waiting_calls: list[LeafCall] = []
-        self._calls: set[LeafCall] = set()
+        self._waiting_calls: list[calls.LeafCall] = []
+        self._calls: set[calls.LeafCall] = set()
         self._next_warm_up_at = 0.0
 
     @property
@@ -331,7 +236,7 @@
         self._next_warm_up_at = now + _WARM_UP_RETRY_S
         self._connect()
 
-    def start(self, call: LeafCall) -> None:
+    def start(self, call: calls.LeafCall) -> None:
         """Start a call; `has_capacity` must be true."""
         call.started_at = self._clock.monotonic()
         self._pacer.record_send(call.started_at)
@@ -345,7 +250,7 @@
         if self._opening_count < len(self._waiting_calls):
             self._connect()
 
-    def _take_idle(self, call: LeafCall) -> http1.ClientConnection | None:
+    def _take_idle(self, call: calls.LeafCall) -> http1.ClientConnection | None:
         """Return the most recently used connection that is fit for the call.
 
         Connections that have been idle too long are closed.
@@ -368,12 +273,17 @@
             self._connections.discard(connection)
         return None
 
-    def _send(self, connection: http1.ClientConnection, call: LeafCall) -> None:
+    def _send(
+        self, connection: http1.ClientConnection, call: calls.LeafCall
+    ) -> None:
         data = call.encode_request()
         if data is None:
             self._idle.append(connection)
             self._end_call(
-                call, CallResult(end=CallEnd.NOT_SENT, reason="deadline passed")
+                call,
+                calls.CallResult(
+                    end=calls.CallEnd.NOT_SENT, reason="deadline passed"
+                ),
             )
             return
         call.connection = connection
@@ -388,11 +298,13 @@
                 if connection.sent_count == 1:
                     # A new connection that brought no answer.
                     self._contact.record_connect_failure()
-                result = CallResult(end=CallEnd.LOST, reason=outcome.reason)
+                result = calls.CallResult(
+                    end=calls.CallEnd.LOST, reason=outcome.reason
+                )
             else:
                 self._contact.record_answer(self._clock.monotonic())
-                result = CallResult(
-                    end=CallEnd.ANSWERED, response=outcome.response
+                result = calls.CallResult(
+                    end=calls.CallEnd.ANSWERED, response=outcome.response
                 )
             self._end_call(call, result)
 
@@ -403,20 +315,20 @@
             on_complete=ended,
         )
 
-    def _end_call(self, call: LeafCall, result: CallResult) -> None:
+    def _end_call(self, call: calls.LeafCall, result: calls.CallResult) -> None:
         if call.done:
             return
         self._remove_call(call)
         call.on_end(call, result)
 
-    def _remove_call(self, call: LeafCall) -> None:
+    def _remove_call(self, call: calls.LeafCall) -> None:
         call.done = True
         self._calls.discard(call)
         self.stats.in_flight -= 1
         if call.sent_at:
             self._contact.end_wait(self._clock.monotonic())
 
-    def cancel_call(self, call: LeafCall) -> None:
+    def cancel_call(self, call: calls.LeafCall) -> None:
         """Cancel a call without calling its ``on_end``."""
         if call.done:
             return
@@ -455,8 +367,9 @@
         for call in waiting:
             self._end_call(
                 call,
-                CallResult(
-                    end=CallEnd.NOT_SENT, reason=f"cannot connect: {reason}"
+                calls.CallResult(
+                    end=calls.CallEnd.NOT_SENT,
+                    reason=f"cannot connect: {reason}",
                 ),
             )
 
@@ -540,7 +453,8 @@
         waiting, self._waiting_calls = self._waiting_calls, []
         for call in waiting:
             self._end_call(
-                call, CallResult(end=CallEnd.NOT_SENT, reason=reason)
+                call,
+                calls.CallResult(end=calls.CallEnd.NOT_SENT, reason=reason),
             )
 
     def close_connections(self) -> None:
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from trefoilpier import base, http1
+from trefoilpier.replicas import call as calls
 from trefoilpier.replicas import departures, pool
 from trefoilpier.replicas import entry as entries
 from trefoilpier.replicas import policy as policies
@@ -70,7 +71,7 @@
         id_header: bytes,
         on_capacity: Callable[[pool.LeafPool], None],
         vm_id: str = "",
-        reuse: pool.ReusePolicy | None = None,
+        reuse: calls.ReusePolicy | None = None,
         policy: policies.LeafPolicy | None = None,
     ) -> None:
         """Create a registry without leaves.
