A request that crashes leaves is sent on: a test that fails

Callers' requests that crash each leaf that runs them come again at any VM. The rule is leaf_rules.crash_violations; it counts sends, the stricter of its two readings.

--- a/standins/leaf_rules.py
+++ b/standins/leaf_rules.py
@@ -1,6 +1,7 @@
 """What the platform demands toward leaves, and where VMs do not reach them."""
 
 from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
 from standins import opaque_leaf
@@ -19,6 +20,11 @@
 _CUT_FAILED_SHARE = 1 / 50
 # A VM that has just started sends until the leaf's first answer tells it.
 _REQUESTS_BEFORE_TOLD = 4
+# A request that has crashed this many leaves may, from this time after the last
+# of them, reach leaves so many more times.
+_CRASHES_MAX = 3
+_CRASH_CONTACT_S = 4.0
+_SENDS_AFTER_MAX = 3
 
 
 class Answered(Protocol):
@@ -98,3 +104,42 @@
                 f"leaf {leaf.id} got {most} requests in {_WINDOW_S:g} s at a "
                 f"limit of {limit.rate:g} a second"
             )
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CrashRecord:
+    """What the leaves saw of a request that crashes them.
+
+    Attributes:
+        crashes: Monotonic times at which leaves ended under it.
+        arrivals: Monotonic times at which it reached leaves.
+    """
+
+    crashes: Sequence[float]
+    arrivals: Sequence[float]
+
+
+def crash_violations(
+    target: bytes, record: CrashRecord, *, excused: int = 0
+) -> Iterator[str]:
+    """Return whether a request was sent on after it had crashed leaves.
+
+    Args:
+        target: Target of the request.
+        record: What the leaves saw of it.
+        excused: Arrivals that VMs out of touch may have sent.
+
+    >>> record = CrashRecord(crashes=[1, 2, 3], arrivals=[1, 2, 3, 8, 9, 10])
+    >>> list(crash_violations(b"/a", record))
+    []
+    """
+    crashes = sorted(record.crashes)
+    if len(crashes) < _CRASHES_MAX:
+        return
+    judged_from = crashes[_CRASHES_MAX - 1] + _CRASH_CONTACT_S
+    sent_on = sum(arrival > judged_from for arrival in record.arrivals)
+    if sent_on > _SENDS_AFTER_MAX + excused:
+        yield (
+            f"{target.decode()}, under which {_CRASHES_MAX} leaves had ended, "
+            f"reached leaves {sent_on} times more; {len(crashes)} ended in all"
+        )
--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -16,6 +16,7 @@
 
 from standins import (
     httpd,
+    leaf_rules,
     memory_net,
     opaque_caller,
     opaque_leaf,
@@ -37,9 +38,25 @@
 _HEARTBEAT_S = 1.2
 _EXPIRY_S = 3 * _HEARTBEAT_S
 _REPLICAS = 3
+_CRASH_PREFIX = b"/crash/"  # After the route's prefix, in a request's target.
+_LEAF_RESTART_S = 2.0  # From the crash of a leaf to its successor.
 # The timeout of the routes: a caller with less time has tried before.
 _DEADLINE_S = 1.5
 _ANSWER_MARGIN_S = 0.2
+_POPULAR_TARGET = b"/g/1"
+
+
+def crashing_target(prefix: bytes, name: bytes = b"1") -> bytes:
+    """Return the target of a request that crashes each leaf that runs it.
+
+    >>> crashing_target(b"/r")
+    b'/r/crash/1'
+    """
+    return prefix + _CRASH_PREFIX + name
+
+
+def _is_crashing(request: http1.HttpRequest) -> bool:
+    return _CRASH_PREFIX in request.target
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -358,6 +375,7 @@
 
     Attributes:
         vm: Name of the VM that got the request.
+        target: Target of the request.
         sent_at: Monotonic time of sending.
         took_s: Seconds until the answer.
         status: Its status; 0 for none.
@@ -365,6 +383,7 @@
     """
 
     vm: str
+    target: bytes
     sent_at: float
     took_s: float
     status: int
@@ -385,15 +404,23 @@
         shard: Number of its shard.
         address: Its address.
         zone: Its availability zone.
+        replica: Number of its replica in the shard.
+        server: Server of its connections.
         leaving_at: Monotonic time at which it announced that it leaves, or
             None.
+        crashed_at: Monotonic time at which it crashed, or None.
+        crashed_under: Target of the request that crashed it, if one did.
     """
 
     leaf: opaque_leaf.OpaqueLeaf
     shard: int
+    replica: int
+    server: http1.ServerFactory
     address: str
     zone: str
     leaving_at: float | None = None
+    crashed_at: float | None = None
+    crashed_under: bytes = b""
 
     def entry_value(self) -> str:
         """Return the value of its entry."""
@@ -474,25 +501,89 @@
         ]
         self._heartbeat()
 
-    def add_leaf(self, shard: int, replica: int) -> str:
-        """Start a leaf, which writes its entry at once; return its id."""
+    def add_leaf(self, shard: int, replica: int, start: int = 1) -> str:
+        """Start a leaf, which writes its entry at once; return its id.
+
+        Args:
+            shard: Number of its shard.
+            replica: Number of its replica in the shard.
+            start: Number of the start at its address, which follows a crash.
+        """
+        suffix = f".{start}" if start > 1 else ""
         leaf = opaque_leaf.OpaqueLeaf(
             clock=self.clock,
             rng=random.Random(self._rng.random()),
-            leaf_id=f"s{shard}-{replica}",
+            leaf_id=f"s{shard}-{replica}{suffix}",
             work_s=self._sizes.work_s,
         )
+        leaf.crashes_under = _is_crashing
+        leaf.on_crash = lambda request: self.crash_leaf(
+            leaf.id, under=request.target
+        )
         host = f"{_LEAF_NETWORK}{shard}.{replica}"
-        self._net.listen(host, _LEAF_PORT, leaf.factory())
+        server = leaf.factory()
+        self._net.listen(host, _LEAF_PORT, server)
         self.leaf_by_id[leaf.id] = FleetLeaf(
             leaf=leaf,
             shard=shard,
+            replica=replica,
+            server=server,
             address=f"{host}:{_LEAF_PORT}",
             zone=f"z{(shard + replica) % self._sizes.zones}",
         )
         self._write_entry(leaf.id)
         return leaf.id
 
+    def crash_leaf(self, leaf_id: str, *, under: bytes = b"") -> None:
+        """End a leaf's process; its successor starts some seconds later.
+
+        Args:
+            leaf_id: Id of the leaf.
+            under: Target of the request that crashed it, if one did.
+        """
+        crashed = self.leaf_by_id[leaf_id]
+        if crashed.crashed_at is not None:
+            return
+        crashed.crashed_at = self.clock.monotonic()
+        crashed.crashed_under = under
+        crashed.leaf.ended = True
+        host = crashed.address.partition(":")[0]
+        self._net.stop_listening(host, _LEAF_PORT)
+        for connection in list(crashed.server.connections):
+            connection.abort()
+        self.clock.call_later(_EXPIRY_S, self._remove_leaf, leaf_id)
+        if crashed.leaving_at is None:
+            starts = 1 + sum(
+                each.shard == crashed.shard and each.replica == crashed.replica
+                for each in self.leaf_by_id.values()
+            )
+            self.clock.call_later(
+                _LEAF_RESTART_S,
+                self.add_leaf,
+                crashed.shard,
+                crashed.replica,
+                starts,
+            )
+
+    def crash_record(self, target: bytes) -> leaf_rules.CrashRecord:
+        """Return what the leaves saw of a request that crashes them."""
+        leaves = self.leaf_by_id.values()
+        return leaf_rules.CrashRecord(
+            crashes=[
+                each.crashed_at
+                for each in leaves
+                if each.crashed_at is not None and each.crashed_under == target
+            ],
+            arrivals=[
+                at
+                for each in leaves
+                for at, request in zip(
+                    each.leaf.request_times, each.leaf.requests, strict=True
+                )
+                if request.target == target
+            ],
+        )
+
     def _write_entry(self, leaf_id: str) -> None:
         """Write a leaf's entry, unless the store has the same one."""
         key = published_protocol.LEAF_PREFIX + leaf_id
@@ -561,8 +652,9 @@
     def _heartbeat(self) -> None:
         """Let leaves write the entries that the store does not have."""
         if not self.model.faults.down:
-            for leaf_id in self.leaf_by_id:
-                if leaf_id not in self._gone_leaf_ids:
+            for leaf_id, each in self.leaf_by_id.items():
+                gone = leaf_id in self._gone_leaf_ids
+                if not gone and each.crashed_at is None:
                     self._write_entry(leaf_id)
         self.clock.call_later(_HEARTBEAT_S, self._heartbeat)
 
@@ -607,11 +699,20 @@
         """
         first = len(self.answers)
         for number in range(int(seconds * rate)):
-            self.clock.call_later(number / rate, self._send_request)
+            self.clock.call_later(number / rate, self.send_request)
         self.clock.advance(seconds)
         return self.answers[first:]
 
-    def _send_request(self) -> None:
+    def send_request(
+        self, target: bytes = _POPULAR_TARGET, method: bytes = b"GET"
+    ) -> None:
+        """Send a caller's request to the next VM.
+
+        Args:
+            target: Target of the request. With `crashing_target` it crashes
+                each leaf that runs it.
+            method: Its method.
+        """
         self._next_request += 1
         vm = self.vms[self._next_request % len(self.vms)]
         client = http1.HttpClient(
@@ -633,6 +734,7 @@
             self.answers.append(
                 FleetAnswer(
                     vm=vm.name,
+                    target=target,
                     sent_at=sent_at,
                     took_s=self.clock.monotonic() - sent_at,
                     status=status,
@@ -641,8 +743,8 @@
             )
 
         client.send_request(
-            b"GET",
-            b"/g/1",
+            method,
+            target,
             headers=[
                 (b"host", b"soak.example"),
                 *opaque_caller.attempt_headers(
--- a/standins/opaque_leaf.py
+++ b/standins/opaque_leaf.py
@@ -101,6 +101,10 @@
             refuses; None if it does not say.
         says_leaving: Whether its responses say that it leaves.
         faults: Injected faults.
+        crashes_under: Returns whether a request crashes the leaf at the end
+            of its work; None for a leaf that never crashes.
+        on_crash: Called with the request that has crashed the leaf.
+        ended: Whether the leaf has ended and answers nothing any more.
         runs: Ids of the requests that were started.
         refused: Ids of the requests that were rejected unprocessed.
         requests: All requests received.
@@ -116,8 +120,11 @@
         "_running_count",
         "_work_time",
         "response_by_seal",
+        "crashes_under",
+        "ended",
         "faults",
         "id",
+        "on_crash",
         "queue_max",
         "rate_limits",
         "refused",
@@ -164,6 +171,11 @@
         self.slots = slots
         self.queue_max = queue_max
         self.faults = LeafFaults()
+        self.crashes_under: Callable[[http1.HttpRequest], bool] | None = None
+        self.on_crash: Callable[[http1.HttpRequest], None] = lambda request: (
+            None
+        )
+        self.ended = False
         self.rate_limits: list[RateLimit] = []
         self.says_leaving = False
         self.rest_s: float | None = None
@@ -288,9 +300,15 @@
         self._start_next()
 
     def _finish(self, exchange: http1.Exchange) -> None:
+        if self.ended:
+            return
         if self.faults.held_up:
             self._paused_exchanges.append(exchange)
             return
+        if self.crashes_under and self.crashes_under(exchange.request):
+            self.ended = True
+            self.on_crash(exchange.request)
+            return
         self._running_count -= 1
         self._answer(exchange)
         self._start_next()
