Leaves that end are told from connections that are lost

What callers saw: nothing by itself. A call whose connection closes was lost for the VM, whether the leaf had crashed or only the connection was reset, so no decision could depend on it. Change: a leaf has ended if it refuses a connection after the loss, or if its entry is removed or replaced within 10 s without that it had announced it; it has not if it answers. A leaf of which all connections are lost is connected to at once. Calls that were running then, and those cancelled up to 1 s before, are reported. A leaf with a suspect call in flight costs more. The store's interface can delete a key.

--- a/trefoilpier/fleet/tests/test_relay.py
+++ b/trefoilpier/fleet/tests/test_relay.py
@@ -39,7 +39,7 @@
     def read(self, *args, **options):
         raise NotImplementedError
 
-    watch = write = grant_lease = keep_lease = end_lease = read
+    watch = write = grant_lease = keep_lease = end_lease = delete = read
 
 
 class Gatherer:
--- a/trefoilpier/fleet/tests/test_state_polls.py
+++ b/trefoilpier/fleet/tests/test_state_polls.py
@@ -15,7 +15,9 @@
     def read_all(self, *args, **options):
         raise NotImplementedError
 
-    read = watch = write = grant_lease = keep_lease = end_lease = read_all
+    read = watch = write = grant_lease = keep_lease = end_lease = delete = (
+        read_all
+    )
 
 
 class FakeGatherer:
--- a/trefoilpier/http1/client_connection.py
+++ b/trefoilpier/http1/client_connection.py
@@ -44,10 +44,12 @@
     Attributes:
         reason: Why there is no response.
         sent: Whether the request may have been sent, and so executed.
+        disconnected: Whether the other side closed the connection.
     """
 
     reason: str
     sent: bool = True
+    disconnected: bool = False
 
 
 OutcomeCallback = Callable[[ResponseReceived | RequestFailed], None]
@@ -333,6 +335,7 @@
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """End the request; an orderly close may complete its response."""
+        was_aborted = not self.open
         self.open = False
         orderly = reason is not None and reason.check(error.ConnectionDone)
         if (
@@ -350,7 +353,8 @@
                 how = "closed" if orderly else "reset"
                 on_complete(
                     RequestFailed(
-                        reason=f"connection {how} before a complete response"
+                        reason=f"connection {how} before a complete response",
+                        disconnected=not was_aborted,
                     )
                 )
         self._events.closed(self)
--- a/trefoilpier/platform/kv.py
+++ b/trefoilpier/platform/kv.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import expression
@@ -301,10 +301,30 @@
         }
         if lease:
             operation["lease"] = int(lease)
-        body: dict[str, Any] = {"writes": [operation], "delete-keys": []}
-        body["precondition"] = (
-            [] if expect is None else [{"key": key, "revision": expect}]
+        return await self._change(key, expect, writes=[operation])
+
+    def delete(self, key: str, *, expect: int) -> "defer.Deferred[Any]":
+        """Delete a key and return the store's new revision."""
+        return defer.ensureDeferred(
+            self._change(key, expect, deleted_keys=[key])
         )
+
+    async def _change(
+        self,
+        key: str,
+        expect: int | None,
+        *,
+        writes: Sequence[dict[str, Any]] = (),
+        deleted_keys: Sequence[str] = (),
+    ) -> expression.Result[int, base.Failure]:
+        """Change a key, if it has the expected revision."""
+        body = {
+            "writes": list(writes),
+            "delete-keys": list(deleted_keys),
+            "precondition": (
+                [] if expect is None else [{"key": key, "revision": expect}]
+            ),
+        }
         result = _require_status(
             await self._request("POST", "/kv-txn", body),
             _STATUS_OK,
--- a/trefoilpier/replicas/__init__.py
+++ b/trefoilpier/replicas/__init__.py
@@ -4,9 +4,16 @@
     CallEnd,
     CallResult,
     LeafCall,
+    RequestIdentity,
     ReusePolicy,
 )
 from trefoilpier.replicas.choice import LeafChooser
+from trefoilpier.replicas.ends import (
+    LeafEndDetector,
+    LeafEndObserver,
+    NullLeafEndObserver,
+    RunningCall,
+)
 from trefoilpier.replicas.entry import LeafEntry, LeafPhase
 from trefoilpier.replicas.policy import LeafPolicy
 from trefoilpier.replicas.pool import LeafPool
@@ -18,6 +25,8 @@
     "CallResult",
     "LeafCall",
     "LeafChooser",
+    "LeafEndDetector",
+    "LeafEndObserver",
     "LeafEntry",
     "LeafLoad",
     "LeafPhase",
@@ -25,5 +34,8 @@
     "LeafPool",
     "LeafRegistry",
     "LeafStats",
+    "NullLeafEndObserver",
+    "RequestIdentity",
     "ReusePolicy",
+    "RunningCall",
 ]
--- a/trefoilpier/replicas/call.py
+++ b/trefoilpier/replicas/call.py
@@ -25,6 +25,19 @@
     non_repeatable_idle_s: float = _NON_REPEATABLE_IDLE_S
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RequestIdentity:
+    """What all repeats of a request have in common.
+
+    Attributes:
+        fingerprint: Hash of what leaves receive in each repeat.
+        description: The request in short, for operators.
+    """
+
+    fingerprint: str
+    description: str
+
+
 class CallEnd(enum.Enum):
     """Outcome of a call to a leaf."""
 
@@ -41,11 +54,13 @@
         end: Outcome of the call.
         response: The leaf's response, if it answered.
         reason: Why there is no response.
+        disconnected: Whether the leaf's side closed the connection.
     """
 
     end: CallEnd
     response: http1.HttpResponse | None = None
     reason: str = ""
+    disconnected: bool = False
 
 
 class LeafCall:
@@ -54,12 +69,14 @@
     Attributes:
         sent_at: Monotonic time of sending; 0 before.
         on_end: Called once with the result.
+        suspect: Whether the request may crash the leaf.
     """
 
     __slots__ = (
         "connection",
         "done",
         "encode_request",
+        "identity",
         "median_latency_s",
         "method",
         "on_end",
@@ -67,6 +84,7 @@
         "request_id",
         "sent_at",
         "started_at",
+        "suspect",
     )
 
     def __init__(
@@ -78,6 +96,8 @@
         median_latency_s: float,
         encode_request: Callable[[], bytes | None],
         on_end: Callable[["LeafCall", CallResult], None],
+        identity: RequestIdentity | None = None,
+        suspect: bool = False,
     ) -> None:
         """Create the call.
 
@@ -89,7 +109,12 @@
             encode_request: Called when the request is about to be sent.
                 Returns None if it need not be sent any more.
             on_end: Called once with the result.
+            identity: Identity of the request, if leaves that end count as
+                evidence against it.
+            suspect: Whether the request may crash the leaf.
         """
+        self.identity = identity
+        self.suspect = suspect
         self.method = method
         self.request_id = request_id
         self.repeatable = repeatable
--- a/trefoilpier/replicas/choice.py
+++ b/trefoilpier/replicas/choice.py
@@ -60,4 +60,6 @@
             cost += self._policy.no_slot_cost
         if candidate.has_overdue_call(now):
             cost += self._policy.overdue_cost
+        if candidate.suspect_count:
+            cost += self._policy.suspect_cost
         return cost * (1.0 + _JITTER * self._rng.random())
--- /dev/null
+++ b/trefoilpier/replicas/ends.py
@@ -0,0 +1,172 @@
+"""Whether a leaf has ended, and which calls it was running then.
+
+A lost connection alone does not tell: it may have been reset while the leaf
+runs on. The leaf has ended if it then refuses connections, or if its entry is
+removed or replaced soon after. It has not if it answers another request.
+"""
+
+import abc
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from trefoilpier.replicas import call as calls
+    from trefoilpier.replicas import pool
+
+# The entry of a leaf that has ended is removed after three missed heartbeats;
+# a store outage may delay that.
+_PENDING_MAX_S = 10.0
+# A leaf may run a cancelled call to its end.
+_CANCELLED_MAX_S = 1.0
+_CANCELLED_KEPT = 8  # Cancelled calls remembered for each leaf.
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RunningCall:
+    """A call that a leaf was running, or may have been, when it ended.
+
+    Attributes:
+        identity: What the request has in common with each repeat of it.
+        request_id: Id of the caller's attempt.
+        sent_at: Monotonic time of sending.
+        ended_at: Monotonic time at which its connection was lost.
+    """
+
+    identity: "calls.RequestIdentity"
+    request_id: bytes
+    sent_at: float
+    ended_at: float
+
+
+class LeafEndObserver(abc.ABC):
+    """Receives which calls were running when leaves ended."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def handle_end(
+        self, ended: "pool.LeafPool", running: list[RunningCall], evidence: str
+    ) -> None:
+        """Handle the end of a leaf.
+
+        Args:
+            ended: Pool of the leaf.
+            running: Calls that it was running.
+            evidence: How its end was noticed.
+        """
+
+    @abc.abstractmethod
+    def handle_alive(self, alive: "pool.LeafPool") -> None:
+        """Handle an answer of a leaf that was reported as ended."""
+
+
+class NullLeafEndObserver(LeafEndObserver):
+    """Ignores the ends of leaves."""
+
+    __slots__ = ()
+
+    def handle_end(
+        self, ended: "pool.LeafPool", running: list[RunningCall], evidence: str
+    ) -> None:
+        """Do nothing."""
+
+    def handle_alive(self, alive: "pool.LeafPool") -> None:
+        """Do nothing."""
+
+
+class LeafEndDetector:
+    """Decides whether one leaf has ended while it was running calls."""
+
+    __slots__ = (
+        "_cancelled",
+        "_lost",
+        "_observer",
+        "_pool",
+        "_reported_at",
+    )
+
+    def __init__(
+        self, *, pool: "pool.LeafPool", observer: LeafEndObserver
+    ) -> None:
+        """Create a detector for a leaf that runs.
+
+        Args:
+            pool: Pool of the leaf.
+            observer: Receives the calls that it was running when it ended.
+        """
+        self._pool = pool
+        self._observer = observer
+        self._lost: list[RunningCall] = []
+        self._cancelled: list[RunningCall] = []
+        # Monotonic time of the last report; None while the leaf runs.
+        self._reported_at: float | None = None
+
+    @property
+    def undecided(self) -> bool:
+        """Whether calls were lost of which the reason is not known yet."""
+        return bool(self._lost)
+
+    def record_lost(self, call: "calls.LeafCall", now: float) -> None:
+        """Record a call whose connection was closed before its answer.
+
+        A leaf that is known to leave may end at any time.
+        """
+        if call.identity is None or self._pool.leaving:
+            return
+        self._lost.append(_running(call, call.identity, now))
+
+    def record_cancelled(self, call: "calls.LeafCall", now: float) -> None:
+        """Record a call that was cancelled while it was in flight."""
+        if call.identity is not None:
+            self._cancelled.append(_running(call, call.identity, now))
+            del self._cancelled[:-_CANCELLED_KEPT]
+
+    def record_refused(self, now: float) -> None:
+        """Record that the leaf refused a connection."""
+        self._report("connection refused", now)
+
+    def record_removed(self, reason: str, now: float) -> None:
+        """Record that the leaf's entry was removed or replaced."""
+        self._report(reason, now)
+
+    def record_answer(self, sent_at: float) -> None:
+        """Record the leaf's answer to a request, which shows that it runs.
+
+        Args:
+            sent_at: Monotonic time at which the request was sent.
+        """
+        if self._lost:
+            self._lost = [
+                each for each in self._lost if each.ended_at > sent_at
+            ]
+        if self._reported_at is not None and sent_at > self._reported_at:
+            self._reported_at = None
+            self._observer.handle_alive(self._pool)
+
+    def _report(self, evidence: str, now: float) -> None:
+        running = [
+            each for each in self._lost if now - each.ended_at < _PENDING_MAX_S
+        ]
+        self._lost = []
+        if not running:
+            return
+        ended_at = min(each.ended_at for each in running)
+        running += [
+            each
+            for each in self._cancelled
+            if abs(ended_at - each.ended_at) < _CANCELLED_MAX_S
+        ]
+        self._cancelled = []
+        self._reported_at = now
+        self._observer.handle_end(self._pool, running, evidence)
+
+
+def _running(
+    call: "calls.LeafCall", identity: "calls.RequestIdentity", now: float
+) -> RunningCall:
+    return RunningCall(
+        identity=identity,
+        request_id=call.request_id,
+        sent_at=call.sent_at,
+        ended_at=now,
+    )
--- a/trefoilpier/replicas/policy.py
+++ b/trefoilpier/replicas/policy.py
@@ -27,6 +27,8 @@
         overdue_cost: Cost of an overdue call, which indicates a paused leaf.
         warm_up_factor: Factor on the cost of a leaf that has just started.
         shed_cost: Cost of a leaf that has just rejected a request.
+        suspect_cost: Cost of a leaf with a request in flight that may crash
+            it.
     """
 
     estimate_slowness: bool = True
@@ -40,3 +42,4 @@
     overdue_cost: float = 3.0
     warm_up_factor: float = 1.6
     shed_cost: float = 4.0
+    suspect_cost: float = 8.0
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import protocol
+from twisted.internet import error, protocol
 
 from trefoilpier import base, http1
 from trefoilpier.replicas import call as calls
-from trefoilpier.replicas import contact, rate_limit, state
+from trefoilpier.replicas import contact, ends, rate_limit, state
 from trefoilpier.replicas import entry as entries
 from trefoilpier.replicas import policy as policies
 
@@ -17,6 +17,8 @@
 _OVERDUE_FACTOR = 3.0  # Multiple of the median latency that few calls exceed.
 _PROBE_TIMEOUT_S = 0.4  # Longer than the pauses of a leaf.
 _WARM_UP_RETRY_S = 1.0  # Interval between attempts to connect in advance.
+# All connections of a leaf that has ended are lost within this time.
+_LOSS_CHECK_PAUSE_S = 0.02
 
 
 class _LeafFactory(protocol.ClientFactory):
@@ -31,7 +33,8 @@
         return self._pool.make_connection()
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
-        self._pool.connect_failed(reason.getErrorMessage())
+        refused = reason.check(error.ConnectionRefusedError) is not None
+        self._pool.connect_failed(reason.getErrorMessage(), refused=refused)
 
 
 class LeafPool(http1.ConnectionEvents):
@@ -44,6 +47,8 @@
         health_request: Encoded health check, which tells whether a leaf that
             was out of contact answers again; None if the service has none.
         leaving: Whether the leaf gets no new requests.
+        end_detector: Decides whether the leaf has ended.
+        suspect_count: Calls in flight that may crash the leaf.
         vm_count: VMs that share the leaf's limit on the rate of requests.
     """
 
@@ -66,10 +71,12 @@
         "_send_timer",
         "_waiting_calls",
         "connections_max",
+        "end_detector",
         "entry",
         "health_request",
         "leaving",
         "stats",
+        "suspect_count",
         "vm_count",
     )
 
@@ -85,6 +92,7 @@
         id_header: bytes,
         on_capacity: Callable[["LeafPool"], None],
         on_regained: Callable[["LeafPool"], None],
+        end_observer: ends.LeafEndObserver | None = None,
         buffers: http1.BufferBudget | None = None,
         reuse: calls.ReusePolicy | None = None,
         policy: policies.LeafPolicy | None = None,
@@ -102,6 +110,8 @@
             on_capacity: Called when a call may have become possible.
             on_regained: Called when a leaf out of contact answers a health
                 check.
+            end_observer: Receives the calls that the leaf was running when
+                it ended; None if that does not matter.
             buffers: Memory for incomplete answers, shared by all leaves.
             reuse: Limits on the reuse of idle connections.
             policy: Settings of the leaf's statistics.
@@ -117,6 +127,10 @@
         self._rests_until = 0.0
         self._send_timer: base.Timer | None = None
         self._contact = contact.LeafContact()
+        self.end_detector = ends.LeafEndDetector(
+            pool=self, observer=end_observer or ends.NullLeafEndObserver()
+        )
+        self.suspect_count = 0
         now = clock.monotonic()
         self.stats = state.LeafStats(
             slots=entry.slots,
@@ -242,6 +256,7 @@
         self._pacer.record_send(call.started_at)
         self._calls.add(call)
         self.stats.in_flight += 1
+        self.suspect_count += call.suspect
         connection = self._take_idle(call)
         if connection is not None:
             self._send(connection, call)
@@ -299,7 +314,9 @@
                     # A new connection that brought no answer.
                     self._contact.record_connect_failure()
                 result = calls.CallResult(
-                    end=calls.CallEnd.LOST, reason=outcome.reason
+                    end=calls.CallEnd.LOST,
+                    reason=outcome.reason,
+                    disconnected=outcome.disconnected,
                 )
             else:
                 self._contact.record_answer(self._clock.monotonic())
@@ -319,12 +336,28 @@
         if call.done:
             return
         self._remove_call(call)
+        if result.disconnected:
+            self._handle_lost_call(call)
         call.on_end(call, result)
 
+    def _handle_lost_call(self, call: calls.LeafCall) -> None:
+        """Find out soon whether the leaf has ended or only a connection."""
+        self.end_detector.record_lost(call, self._clock.monotonic())
+        if self.end_detector.undecided:
+            self._clock.call_later(_LOSS_CHECK_PAUSE_S, self._check_ended)
+
+    def _check_ended(self) -> None:
+        """Connect to a leaf of which all connections were lost."""
+        if self.leaving or self._connections or self._opening_count:
+            return
+        if self.end_detector.undecided:
+            self._connect()
+
     def _remove_call(self, call: calls.LeafCall) -> None:
         call.done = True
         self._calls.discard(call)
         self.stats.in_flight -= 1
+        self.suspect_count -= call.suspect
         if call.sent_at:
             self._contact.end_wait(self._clock.monotonic())
 
@@ -337,6 +370,7 @@
             self._waiting_calls.remove(call)
             return
         if call.connection is not None:
+            self.end_detector.record_cancelled(call, self._clock.monotonic())
             call.connection.cancel_request()
 
     def _connect(self) -> None:
@@ -357,9 +391,16 @@
             buffers=self._buffers,
         )
 
-    def connect_failed(self, reason: str) -> None:
-        """Handle a failed connection and end the calls that waited for it."""
+    def connect_failed(self, reason: str, *, refused: bool) -> None:
+        """Handle a failed connection and end the calls that waited for it.
+
+        Args:
+            reason: Why it failed.
+            refused: Whether the leaf's address refused it.
+        """
         self._opening_count -= 1
+        if refused and not self.leaving:
+            self.end_detector.record_refused(self._clock.monotonic())
         self.stats.record_connect_failure(self._clock.monotonic())
         self._contact.record_connect_failure()
         waiting = self._waiting_calls[self._opening_count :]
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -14,7 +14,7 @@
 
 from trefoilpier import base, http1
 from trefoilpier.replicas import call as calls
-from trefoilpier.replicas import departures, pool
+from trefoilpier.replicas import departures, ends, pool
 from trefoilpier.replicas import entry as entries
 from trefoilpier.replicas import policy as policies
 
@@ -46,6 +46,7 @@
         "_clock",
         "_connections_max_by_service",
         "_departures",
+        "_end_observer",
         "_health_request_by_service",
         "_grace_until",
         "_grace_until_by_id",
@@ -71,6 +72,7 @@
         id_header: bytes,
         on_capacity: Callable[[pool.LeafPool], None],
         vm_id: str = "",
+        end_observer: ends.LeafEndObserver | None = None,
         reuse: calls.ReusePolicy | None = None,
         policy: policies.LeafPolicy | None = None,
     ) -> None:
@@ -84,10 +86,13 @@
             on_capacity: Called when a leaf may have become free for a call.
             vm_id: Name of this VM, which spreads the VMs' requests to leaves
                 that limit their rate.
+            end_observer: Receives the calls that leaves were running when
+                they ended; None if that does not matter.
             reuse: Limits on the reuse of idle connections.
             policy: Settings of the leaves' statistics.
         """
         self._vm_id = vm_id
+        self._end_observer = end_observer
         self._reuse_policy = reuse
         self._policy = policy
         self._clock = clock
@@ -284,6 +289,7 @@
             id_header=self._id_header,
             on_capacity=self._on_capacity,
             on_regained=self._handle_regained,
+            end_observer=self._end_observer,
             buffers=self._buffers,
             reuse=self._reuse_policy,
             policy=self._policy,
@@ -324,6 +330,7 @@
         self.generation += 1
         self._departures.record(removed.entry)
         self._remove_from_service(removed)
+        removed.end_detector.record_removed(reason, self._clock.monotonic())
         removed.stop_accepting()
         self._log.emit(
             base.Event.LEAF_DOWN,
--- a/trefoilpier/replicas/tests/test_choice.py
+++ b/trefoilpier/replicas/tests/test_choice.py
@@ -22,6 +22,7 @@
         stats=stats,
         has_capacity=lambda: has_capacity,
         has_overdue_call=lambda now: history.get("overdue", False),
+        suspect_count=history.get("suspects", 0),
     )
 
 
@@ -96,3 +97,9 @@
     bad = make_pool("a", failed=3)
     bad.stats.record_connected()
     assert bad.stats.is_ejected(10.2)
+
+
+def test_leaf_that_a_request_in_flight_may_crash_is_avoided():
+    risky = make_pool("a", suspects=1)
+    assert share_of_first(risky, make_pool("b", in_flight=3)) == 0.0
+    assert share_of_first(risky, make_pool("b", has_capacity=False)) == 1.0
--- a/trefoilpier/store/api.py
+++ b/trefoilpier/store/api.py
@@ -163,3 +163,14 @@
                 None for any.
             lease: Id of the lease whose end deletes the key, or empty.
         """
+
+    @abc.abstractmethod
+    def delete(
+        self, key: str, *, expect: int
+    ) -> "defer.Deferred[expression.Result[int, base.Failure]]":
+        """Delete a key and return the store's new revision.
+
+        Args:
+            key: The key.
+            expect: Revision that the key must have.
+        """
--- a/trefoilpier/tier/tests/test_peer_sync.py
+++ b/trefoilpier/tier/tests/test_peer_sync.py
@@ -38,7 +38,7 @@
     def watch(self, *args, **options):
         return defer.Deferred()
 
-    read = write = grant_lease = keep_lease = end_lease = watch
+    read = write = grant_lease = keep_lease = end_lease = delete = watch
 
 
 def routes_item(version):
--- a/trefoilpier/tier/tests/test_store_sync.py
+++ b/trefoilpier/tier/tests/test_store_sync.py
@@ -76,7 +76,7 @@
     def grant_lease(self, *, ttl_s):
         raise NotImplementedError
 
-    keep_lease = end_lease = write = read = grant_lease
+    keep_lease = end_lease = delete = write = read = grant_lease
 
 
 def unavailable_error():
