BUDGET: a request that crashes leaves is barred by all VMs

Cause: no VM related the ends of leaves to the request that they were running; what became of a request was forgotten with its answer, at each VM by itself. Change: quarantine/ keeps, by what repeats of a request have in common, the leaves that ended under it. Three ends in two runs half a second apart bar it for a minute, then four times as long each time that it crashes a leaf again; after a bar it is tried once at a time. An answer to it from the same service clears the evidence, so that requests which ran beside it go on. A suspect goes to one leaf at a time and not beside another one; of a gather one shard is asked first. Each VM writes its evidence under a key of its own in the store, which outlives its process and reaches VMs that start; while it cannot, the VMs that poll it take it over. Why it works: the evidence follows the request over services, VMs and processes, and is complete before the platform begins to count.

--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -704,17 +704,21 @@
         return self.answers[first:]
 
     def send_request(
-        self, target: bytes = _POPULAR_TARGET, method: bytes = b"GET"
+        self,
+        target: bytes = _POPULAR_TARGET,
+        method: bytes = b"GET",
+        vm: MemoryVm | None = None,
     ) -> None:
-        """Send a caller's request to the next VM.
+        """Send a caller's request.
 
         Args:
             target: Target of the request. With `crashing_target` it crashes
                 each leaf that runs it.
             method: Its method.
+            vm: VM that gets it; None for the next one.
         """
         self._next_request += 1
-        vm = self.vms[self._next_request % len(self.vms)]
+        vm = vm or self.vms[self._next_request % len(self.vms)]
         client = http1.HttpClient(
             reactor=self._net,
             clock=self.clock,
--- a/trefoilpier/base/events.py
+++ b/trefoilpier/base/events.py
@@ -29,6 +29,14 @@
     LEAF_WRONG_ANSWER = ("TPE-3005", "WARNING", "leaf answer rejected")
     LEAF_RATE_LIMIT = ("TPE-3006", "INFO", "leaf limits its rate")
     SERVICES_LOST = ("TPE-3007", "WARNING", "services out of contact")
+    LEAF_ENDED = ("TPE-3008", "WARNING", "leaf ended while it ran requests")
+    QUARANTINE_BARRED = ("TPE-3009", "WARNING", "request barred")
+    QUARANTINE_RELEASED = ("TPE-3010", "INFO", "bar of a request has ended")
+    QUARANTINE_CLEARED = (
+        "TPE-3011",
+        "INFO",
+        "evidence against request cleared",
+    )
     CONFIG_IN_FORCE = ("TPE-4001", "INFO", "configuration in force")
     CONFIG_REJECTED = ("TPE-4002", "ERROR", "configuration rejected")
     CONFIG_STALE_READ = ("TPE-4003", "WARNING", "older version ignored")
--- a/trefoilpier/fleet/state_handler.py
+++ b/trefoilpier/fleet/state_handler.py
@@ -3,7 +3,8 @@
 import urllib.parse
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
+from typing import Any
 
 import expression
 import orjson
@@ -34,8 +35,11 @@
         lost_count: Services of whose leaves the VM reaches none.
         limits: Limits on callers' requests.
         vm_generation: Change counter of the list of VMs.
-        leaf_generation: Change counter of the list of leaves.
+        leaf_generation: Change counter of the list of leaves and of evidence.
         vms: Records of the gatherers; None if the poll knows them.
+        unsent_evidence: Evidence against requests that the VM could not write
+            to the store, as `quarantine.to_document` returns it.
+        unsent_generation: Change counter of that evidence.
     """
 
     version: int
@@ -47,6 +51,8 @@
     vms: list[directory.VmRecord] | None
     era: int | None = None
     lost_count: int = 0
+    unsent_evidence: dict[str, Any] = field(default_factory=dict)
+    unsent_generation: int = 0
 
     def tag(self, *, include_leaves: bool) -> str:
         """Return a tag that differs between different states of one process.
@@ -54,7 +60,10 @@
         Args:
             include_leaves: Whether a change of the leaves changes the tag.
         """
-        flags = f"{int(self.current)}{int(self.leaving)}{self.lost_count}"
+        flags = (
+            f"{int(self.current)}{int(self.leaving)}{self.lost_count}"
+            f"-{self.unsent_generation}"
+        )
         leaf_tag = str(self.leaf_generation) if include_leaves else "-"
         era = "" if self.era is None else f"{self.era}."
         return f"{era}{self.version}.{flags}.{self.vm_generation}.{leaf_tag}"
@@ -98,6 +107,8 @@
                 era=_decode_era(row.get("era")),
                 # VMs of earlier releases state none.
                 lost_count=int(row.get("lost_count", 0)),
+                unsent_evidence=dict(row.get("unsent_evidence", {})),
+                unsent_generation=int(row.get("unsent_generation", 0)),
             )
         )
     except (ValueError, KeyError, TypeError) as error:
--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from trefoilpier import base, http1, replicas, routes
+from trefoilpier import base, http1, quarantine, replicas, routes
 from trefoilpier.forward import (
     admission,
     budget,
@@ -70,8 +70,10 @@
         chooser: replicas.LeafChooser,
         budget_limits: budget.RetryBudgetLimits,
         forward_policy: policy.ForwardPolicy | None = None,
+        gate: quarantine.QuarantineGate | None = None,
     ) -> None:
         self.clock = clock
+        self.gate = gate
         self.policy = forward_policy or policy.ForwardPolicy()
         self.wire = wire
         self.chooser = chooser
@@ -264,9 +266,12 @@
                 objective_s=route.objective_s,
             ),
         )
+        if self._is_quarantined(exchange, context):
+            return
         services = self._choose_services(route)
         refusal = self._admit(route, services, time_left_s)
         if refusal is not None:
+            self._end_trial(context)
             self._refuse(
                 exchange, metadata, refusal.code, refusal.retry_after_s
             )
@@ -284,6 +289,36 @@
                 service=services[0],
             ).start()
 
+    def _is_quarantined(
+        self,
+        exchange: http1.Exchange,
+        context: request_context.RequestContext,
+    ) -> bool:
+        """Refuse a request that crashes leaves; return whether it was."""
+        if self.gate is None:
+            return False
+        identity = quarantine.identify(
+            exchange.request, account=context.metadata.account
+        )
+        admitted = self.gate.admit(identity)
+        context.identity = identity
+        context.suspect = admitted.suspect
+        context.on_trial = admitted.on_trial
+        if admitted.refused:
+            self._refuse(
+                exchange,
+                context.metadata,
+                base.ResultCode.QUARANTINED,
+                admitted.retry_after_s,
+                {"fingerprint": identity.fingerprint},
+            )
+        return admitted.refused
+
+    def _end_trial(self, context: request_context.RequestContext) -> None:
+        if context.on_trial and self.gate and context.identity:
+            context.on_trial = False
+            self.gate.end_trial(context.identity)
+
     def _choose_services(self, route: routes.Route) -> tuple[str, ...]:
         if route.gather is not None:
             return route.gather.services
@@ -332,13 +367,14 @@
         metadata: wires.RequestMetadata,
         code: base.ResultCode,
         retry_after_s: float,
+        fields: dict | None = None,
     ) -> None:
         self._respond(
             exchange,
             metadata,
             code,
             responses.make_refusal(retry_after_s),
-            {"retry_after_s": retry_after_s},
+            {"retry_after_s": retry_after_s, **(fields or {})},
         )
 
     def finish(
@@ -351,6 +387,7 @@
     ) -> None:
         """Send the response to an admitted request and log it."""
         self.in_flight -= 1
+        self._end_trial(context)
         assert self.table is not None
         now = self.clock.monotonic()
         fields["route"] = context.route.name
@@ -387,6 +424,7 @@
     ) -> None:
         """Log a caller that disconnected before its response."""
         self.in_flight -= 1
+        self._end_trial(context)
         elapsed_s = self.clock.monotonic() - received_at
         self._log.emit(
             base.Event.CALLER_LEFT,
--- a/trefoilpier/forward/environment.py
+++ b/trefoilpier/forward/environment.py
@@ -2,7 +2,7 @@
 
 import abc
 
-from trefoilpier import base, http1, replicas, routes
+from trefoilpier import base, http1, quarantine, replicas, routes
 from trefoilpier.forward import (
     budget,
     latency,
@@ -22,15 +22,42 @@
         chooser: Load balancer across the leaves of a service.
         wire: Reader and writer of callers' and leaves' headers.
         policy: Settings of the decisions.
+        gate: Admission by the evidence against requests; None if leaves that
+            end do not count against them.
     """
 
-    __slots__ = ("chooser", "clock", "policy", "registry", "wire")
+    __slots__ = ("chooser", "clock", "gate", "policy", "registry", "wire")
 
     clock: base.Clock
     registry: replicas.LeafRegistry
     chooser: replicas.LeafChooser
     wire: wires.LeafWire
     policy: policy.ForwardPolicy
+    gate: quarantine.QuarantineGate | None
+
+    def is_barred(self, context: request_context.RequestContext) -> bool:
+        """Return whether a request may not be sent to any further leaf."""
+        if self.gate is None or context.identity is None:
+            return False
+        return context.seems_to_crash_leaves or self.gate.is_barred(
+            context.identity
+        )
+
+    def record_answer(
+        self, context: request_context.RequestContext, service: str
+    ) -> None:
+        """Record that a leaf has run a request and answered it."""
+        context.answered_count += 1
+        if self.gate is not None and context.identity is not None:
+            self.gate.record_answer(context.identity, service)
+
+    def suspected_services(
+        self, context: request_context.RequestContext
+    ) -> frozenset[str]:
+        """Return the services whose leaves have ended under a request."""
+        if self.gate is None or context.identity is None:
+            return frozenset()
+        return self.gate.suspected_services(context.identity)
 
     @abc.abstractmethod
     def budget_for(self, service: str) -> budget.RetryBudget:
--- a/trefoilpier/forward/gather_run.py
+++ b/trefoilpier/forward/gather_run.py
@@ -37,6 +37,7 @@
         "_reason",
         "_starting",
         "_timers",
+        "_withheld",
     )
 
     def __init__(
@@ -62,6 +63,8 @@
         self._hedge_timer = hedge_timer.HedgeTimer(clock=env.clock)
         self._timers: list[base.Timer] = []
         self._call_by_service: dict[str, service_call.ServiceCall] = {}
+        # Calls of a suspect request that wait until one shard has answered.
+        self._withheld: list[service_call.ServiceCall] = []
 
     def start(self) -> None:
         """Send the request to all shards."""
@@ -86,11 +89,39 @@
                 on_done=self._handle_result,
             )
             self._call_by_service[service] = call
-        for call in self._call_by_service.values():
-            call.start()
+        if context.suspect:
+            self._withhold_calls()
+        else:
+            for call in self._call_by_service.values():
+                call.start()
         self._starting = False
         self._advance(past_deadline=False)
 
+    def _withhold_calls(self) -> None:
+        """Start one call, and hold the others back until a leaf has answered.
+
+        Shards whose leaves have ended under the request come first.
+        """
+        suspected = self._env.suspected_services(self._context)
+        self._withheld = sorted(
+            self._call_by_service.values(),
+            key=lambda call: call.service in suspected,
+        )
+        self._withheld.pop().start()
+
+    def _continue_withheld(self, result: service_result.ServiceResult) -> None:
+        """Start the calls held back, or drop them if the leaf was lost."""
+        if result.ran is base.Ran.NO:
+            # It shows nothing about the request.
+            self._withheld.pop().start()
+            return
+        withheld, self._withheld = self._withheld, []
+        if self._context.lost_count:
+            self._pending_count -= len(withheld)
+            return
+        for call in withheld:
+            call.start()
+
     def _handle_result(
         self,
         call: service_call.ServiceCall,
@@ -108,6 +139,8 @@
                 self._present_services.add(call.service)
         elif result.reason:
             self._reason = f"{call.service}: {result.reason}"
+        if self._withheld and not self._done:
+            self._continue_withheld(result)
         if self._starting or self._awaits_parts(call, result):
             return
         self._advance(past_deadline=False)
--- a/trefoilpier/forward/hedging.py
+++ b/trefoilpier/forward/hedging.py
@@ -13,6 +13,7 @@
     NO_CAPACITY = "no leaf with free capacity"
     NO_OTHER_LEAF = "no other leaf"
     NO_BUDGET = "no budget"
+    SUSPECT = "request may crash leaves"
     SENT = "sent"
 
 
--- a/trefoilpier/forward/request_context.py
+++ b/trefoilpier/forward/request_context.py
@@ -2,9 +2,11 @@
 
 from dataclasses import dataclass
 
-from trefoilpier import http1, routes
+from trefoilpier import http1, replicas, routes
 from trefoilpier.forward import wire as wires
 
+_LOST_MIN = 3  # Fewer leaves may end at the same time by chance.
+
 
 @dataclass(slots=True, kw_only=True)
 class RequestContext:
@@ -18,6 +20,12 @@
         deadline: Monotonic time at which the caller stops waiting.
         objective_deadline: Monotonic time after which the answer misses the
             route's latency objective.
+        identity: What the request has in common with its repeats; None if
+            leaves that end do not count against it.
+        suspect: Whether it may crash leaves, and so is sent to one at a time.
+        on_trial: Whether it is the one trial after a bar.
+        lost_count: Calls whose leaf closed the connection.
+        answered_count: Calls that a leaf ran and answered.
     """
 
     request: http1.HttpRequest
@@ -26,3 +34,15 @@
     route: routes.Route
     deadline: float
     objective_deadline: float
+    identity: replicas.RequestIdentity | None = None
+    suspect: bool = False
+    on_trial: bool = False
+    lost_count: int = 0
+    answered_count: int = 0
+
+    @property
+    def seems_to_crash_leaves(self) -> bool:
+        """Whether many of its leaves were lost and none has answered."""
+        if self.answered_count or self.lost_count < _LOST_MIN:
+            return False
+        return 2 * self.lost_count >= len(self.route.service_names)
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -14,6 +14,8 @@
 )
 from trefoilpier.forward import wire as wires
 
+_BARRED_REASON = "request crashes leaves"
+
 
 class ServiceCall(wait_queue.QueuedCall):
     """A request to one service, sent to its leaves until one answers.
@@ -113,6 +115,10 @@
         Returns:
             False if no leaf has.
         """
+        if self._env.is_barred(self._context):
+            self._leave_queue()
+            self._finish_failed(_BARRED_REASON)
+            return True
         chosen = self._choose_pool()
         if chosen is None:
             self._await_send_times()
@@ -138,6 +144,9 @@
 
     def _send_or_enqueue(self) -> None:
         """Send to the best leaf, or queue until one has free capacity."""
+        if self._env.is_barred(self._context):
+            self._finish_failed(_BARRED_REASON)
+            return
         chosen = self._choose_pool()
         if chosen is not None:
             self._send(chosen)
@@ -184,6 +193,8 @@
             median_latency_s=self._env.latency_for(context.route).median_s,
             encode_request=encode_request,
             on_end=self._handle_call_end,
+            identity=context.identity,
+            suspect=context.suspect,
         )
         self._call_by_leaf[leaf_id] = (pool, call)
         if not self._hedge_scheduled and self._may_hedge():
@@ -201,6 +212,9 @@
         """Send the request to another leaf while the first is late."""
         if self._done:
             return
+        if self._context.suspect:
+            self.hedge_outcome = hedging.HedgeOutcome.SUSPECT
+            return
         chosen = self._choose_pool()
         obstacle = hedging.obstacle(
             hedging.HedgeState(
@@ -270,6 +284,9 @@
             return
         if result.end is replicas.CallEnd.LOST:
             pool.stats.record_failure(now)
+            if result.disconnected:
+                self._context.lost_count += 1
+                self._context.suspect = True
             self._env.log_lost_call(self._context, pool.entry.id, result.reason)
             self.ran = base.Ran.UNKNOWN
             self._reason = result.reason
@@ -289,6 +306,7 @@
         if answer.load is not None:
             pool.stats.record_load(answer.load, now)
         if not answer.wrong_leaf:
+            pool.end_detector.record_answer(call.sent_at)
             self._apply_notices(pool, answer)
         if answer.wrong_leaf:
             self._env.registry.remove_replaced(pool.entry.id)
@@ -310,6 +328,7 @@
                 self._failed_answer = (answer, pool.entry.id)
             self._retry_failed()
             return
+        self._env.record_answer(self._context, self._service)
         elapsed_s = now - call.sent_at
         estimator = self._env.latency_for(self._context.route)
         pool.stats.record_success(
@@ -358,6 +377,7 @@
         if (
             self._context.route.repeatable
             and self._has_attempts_left()
+            and not self._env.is_barred(self._context)
             and self._env.budget_for(self._service).try_acquire()
         ):
             self._send_or_enqueue()
--- a/trefoilpier/forward/wire.py
+++ b/trefoilpier/forward/wire.py
@@ -13,10 +13,12 @@
     Attributes:
         id: The caller's id of this attempt; empty if not stated.
         wait_s: Seconds that the caller will wait; None if not stated.
+        account: Client account of the caller; empty if not stated.
     """
 
     id: bytes
     wait_s: float | None
+    account: bytes = b""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/trefoilpier/platform/headers.py
+++ b/trefoilpier/platform/headers.py
@@ -8,6 +8,7 @@
 _REQUEST_ID_HEADER = b"x-request-id"
 _DEADLINE_HEADER = b"x-deadline-ms"
 _EXPECTED_LEAF_HEADER = b"x-expect-instance"
+_ACCOUNT_HEADER = b"authorization"
 _SEAL_HEADER = b"x-server-seal"
 _LOAD_HEADER = b"x-server-load"
 _RATE_LIMIT_HEADER = b"server-limit"
@@ -62,6 +63,7 @@
         return forward.RequestMetadata(
             id=http1.find_header(request.headers, _REQUEST_ID_HEADER) or b"",
             wait_s=wait_s,
+            account=http1.find_header(request.headers, _ACCOUNT_HEADER) or b"",
         )
 
     def forwarded_headers(self, request: http1.HttpRequest) -> http1.Headers:
--- /dev/null
+++ b/trefoilpier/quarantine/__init__.py
@@ -0,0 +1,45 @@
+"""Requests that crash the leaves that run them, and their quarantine.
+
+Such a request is known as a query of death. A leaf that ends gives evidence
+against each request that it was running; one answer of the same service to a
+request clears it. Evidence is shared by all VMs and outlives their processes.
+"""
+
+from trefoilpier.quarantine.evidence import (
+    LeafEnd,
+    RequestRecord,
+    Standing,
+    Verdict,
+    is_expired,
+    judge,
+)
+from trefoilpier.quarantine.gate import Admission, QuarantineGate
+from trefoilpier.quarantine.identity import identify
+from trefoilpier.quarantine.ledger import (
+    RECORDS_MAX,
+    QuarantineLedger,
+    decode_records,
+    encode_records,
+    parse_document,
+    to_document,
+)
+from trefoilpier.quarantine.recorder import LeafEndRecorder
+
+__all__ = [
+    "RECORDS_MAX",
+    "Admission",
+    "LeafEnd",
+    "LeafEndRecorder",
+    "QuarantineGate",
+    "QuarantineLedger",
+    "RequestRecord",
+    "Standing",
+    "Verdict",
+    "decode_records",
+    "encode_records",
+    "identify",
+    "is_expired",
+    "judge",
+    "parse_document",
+    "to_document",
+]
--- /dev/null
+++ b/trefoilpier/quarantine/recorder.py
@@ -0,0 +1,69 @@
+"""Records leaves that end as evidence against the requests that they ran."""
+
+from trefoilpier import base, replicas
+from trefoilpier.quarantine import evidence
+from trefoilpier.quarantine import ledger as ledgers
+
+
+class LeafEndRecorder(replicas.LeafEndObserver):
+    """Passes the ends of leaves to the ledger."""
+
+    __slots__ = ("_clock", "_ledger", "_log")
+
+    def __init__(
+        self,
+        *,
+        clock: base.Clock,
+        log: base.EventLog,
+        ledger: ledgers.QuarantineLedger,
+    ) -> None:
+        """Create the recorder.
+
+        Args:
+            clock: Clock of the calls.
+            log: Log of events.
+            ledger: Ledger of the evidence.
+        """
+        self._clock = clock
+        self._log = log
+        self._ledger = ledger
+
+    def handle_end(
+        self,
+        ended: replicas.LeafPool,
+        running: list[replicas.RunningCall],
+        evidence: str,
+    ) -> None:
+        """Record the end of a leaf under each request that it was running."""
+        self._log.emit(
+            base.Event.LEAF_ENDED,
+            leaf=ended.entry.id,
+            service=ended.entry.service,
+            evidence=evidence,
+            requests=[call.request_id.decode("latin-1") for call in running],
+            fingerprints=[call.identity.fingerprint for call in running],
+        )
+        now = self._clock.monotonic()
+        now_ms = self._ledger.now_ms()
+        for call in running:
+            self._ledger.record_end(
+                call.identity,
+                leaf=_incarnation(ended),
+                end=_make_end(
+                    ended.entry.service,
+                    sent_ms=now_ms - int((now - call.sent_at) * 1000),
+                    ended_ms=now_ms - int((now - call.ended_at) * 1000),
+                ),
+            )
+
+    def handle_alive(self, alive: replicas.LeafPool) -> None:
+        """Withdraw the evidence of a leaf that answers."""
+        self._ledger.clear_leaf(_incarnation(alive))
+
+
+def _incarnation(pool: replicas.LeafPool) -> str:
+    return f"{pool.entry.id}/{pool.entry.incarnation}"
+
+
+def _make_end(service: str, *, sent_ms: int, ended_ms: int) -> evidence.LeafEnd:
+    return evidence.LeafEnd(service=service, sent_ms=sent_ms, ended_ms=ended_ms)
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -1,5 +1,6 @@
 """Synchronization of routes, leaves and VM records from the store."""
 
+import abc
 import random
 from collections.abc import Callable
 
@@ -27,6 +28,29 @@
 _MALFORMED_KEYS_MAX = 200  # Limit on remembered malformed leaf entries.
 
 
+class ItemFollower(abc.ABC):
+    """Follows the items below one prefix."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def replace_all(self, items: list[store.Item], *, from_peer: bool) -> None:
+        """Apply a complete list of the items.
+
+        Args:
+            items: The items.
+            from_peer: Whether the list is another VM's copy.
+        """
+
+    @abc.abstractmethod
+    def put(self, item: store.Item) -> None:
+        """Apply a new or changed item."""
+
+    @abc.abstractmethod
+    def remove(self, key: str) -> None:
+        """Apply the removal of an item."""
+
+
 class StoreSync:
     """Local copy of the store's items, kept up to date by watches.
 
@@ -43,6 +67,7 @@
         "_clock",
         "_directory",
         "_failed_since_load",
+        "_follower_by_prefix",
         "_items_by_key",
         "_log",
         "_outage_reported",
@@ -74,7 +99,9 @@
         directory: fleet.VmDirectory,
         on_routes: Callable[[routes.RouteTable], None],
         on_members: Callable[[], None],
+        follower_by_prefix: dict[str, ItemFollower] | None = None,
     ) -> None:
+        self._follower_by_prefix = follower_by_prefix or {}
         self._directory = directory
         self._on_members = on_members
         self._clock = clock
@@ -188,6 +215,15 @@
                 vms += self._decode_vm(item)
         if vms or not from_peer:
             self._directory.replace_all(vms)
+        for prefix, follower in self._follower_by_prefix.items():
+            follower.replace_all(
+                [
+                    item
+                    for item in self._items_by_key.values()
+                    if item.key.startswith(prefix)
+                ],
+                from_peer=from_peer,
+            )
         self._registry.replace_all(leaves, from_peer=from_peer)
         self._on_members()
 
@@ -281,6 +317,7 @@
                 self._apply_routes(change.item)
             if change.key.startswith(fleet.VM_KEY_PREFIX):
                 self._apply_vm_change(change)
+            self._notify_follower(change)
             if not change.key.startswith(platform.LEAF_PREFIX):
                 continue
             leaf_id = change.key.removeprefix(platform.LEAF_PREFIX)
@@ -316,6 +353,15 @@
         )
         self._on_routes(table)
 
+    def _notify_follower(self, change: store.Change) -> None:
+        for prefix, follower in self._follower_by_prefix.items():
+            if not change.key.startswith(prefix):
+                continue
+            if change.item is None:
+                follower.remove(change.key)
+            else:
+                follower.put(change.item)
+
     def _apply_vm_change(self, change: store.Change) -> None:
         if change.item is None:
             vm_id = change.key.removeprefix(fleet.VM_KEY_PREFIX)
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -10,10 +10,16 @@
     forward,
     http1,
     platform,
+    quarantine,
     replicas,
     routes,
 )
-from trefoilpier.tier import dispatcher, peer_sync, store_sync
+from trefoilpier.tier import (
+    dispatcher,
+    peer_sync,
+    quarantine_sync,
+    store_sync,
+)
 
 _WARM_PAUSE_S = 0.5  # Between rounds of opening connections in advance.
 _READY_WAIT_MAX_S = 1.5  # Longest wait for leaves after the first load.
@@ -36,6 +42,7 @@
     """All components of a VM except its listening sockets and signals.
 
     Attributes:
+        ledger: Evidence against requests that may crash leaves.
         request_dispatcher: Handler of callers' requests.
         relay_handler: Handler of requests that other VMs relay.
         state_handler: Handler of other VMs' polls for the state.
@@ -48,6 +55,8 @@
         "_detour",
         "_directory",
         "_engine",
+        "_evidence_sync",
+        "_gate",
         "_peer_sync",
         "_leaf_registry",
         "_log",
@@ -63,6 +72,7 @@
         "_store_sync",
         "_used_services",
         "_vm_count",
+        "ledger",
         "request_dispatcher",
         "relay_handler",
         "state_handler",
@@ -109,8 +119,25 @@
         self._directory = fleet.VmDirectory()
         self._selection = fleet.GathererSelection(vm_directory=self._directory)
         wire = platform.PlatformWire()
+        self.ledger = quarantine.QuarantineLedger(clock=clock, log=log)
+        self._evidence_sync = quarantine_sync.QuarantineSync(
+            clock=clock,
+            log=log,
+            rng=rng,
+            store_client=self._store,
+            ledger=self.ledger,
+            vm_id=boot.node_id,
+            on_unsent=lambda: self.state_handler.notify_waiting(),
+        )
+        self._gate = quarantine.QuarantineGate(ledger=self.ledger)
         self._engine, self._leaf_registry = self._make_engine(
-            wire, boot.budget, None
+            wire,
+            boot.budget,
+            None,
+            gate=self._gate,
+            end_observer=quarantine.LeafEndRecorder(
+                clock=clock, log=log, ledger=self.ledger
+            ),
         )
         self._used_services: frozenset[str] = frozenset()
         self._relay = self._make_relay(
@@ -128,6 +155,9 @@
             directory=self._directory,
             on_routes=self._apply_routes,
             on_members=self._apply_members,
+            follower_by_prefix={
+                quarantine_sync.KEY_PREFIX: self._evidence_sync
+            },
         )
         self._engine.route_read_failed = lambda: (
             self._store_sync.last_call_failed
@@ -173,6 +203,9 @@
         wire: forward.LeafWire,
         budget: forward.RetryBudgetLimits,
         reuse: replicas.ReusePolicy | None,
+        *,
+        gate: quarantine.QuarantineGate | None = None,
+        end_observer: replicas.LeafEndObserver | None = None,
     ) -> tuple[forward.ForwardEngine, replicas.LeafRegistry]:
         engine = forward.ForwardEngine(
             clock=self._clock,
@@ -185,6 +218,7 @@
             ),
             budget_limits=budget,
             forward_policy=self._policy,
+            gate=gate,
         )
         registry = replicas.LeafRegistry(
             clock=self._clock,
@@ -193,6 +227,7 @@
             id_header=wire.id_header,
             on_capacity=engine.start_queued_calls,
             vm_id=self._boot.node_id,
+            end_observer=end_observer,
             reuse=reuse,
             policy=self._policy.leaves,
         )
@@ -334,16 +369,35 @@
             leaving=self.stopping,
             limits=table.limits if table else http1.CallerLimits(),
             vm_generation=self._selection.generation,
-            leaf_generation=self._leaf_registry.generation,
+            leaf_generation=(
+                self._leaf_registry.generation + self.ledger.generation
+            ),
             vms=vms,
             era=self._store_sync.era,
             lost_count=len(self._reach.lost_services),
+            unsent_evidence=quarantine.to_document(
+                self._evidence_sync.unsent_records()
+            ),
+            unsent_generation=self._evidence_sync.unsent_generation,
         )
 
+    def _merge_evidence(
+        self, record: fleet.VmRecord, state: fleet.GathererState
+    ) -> None:
+        """Take over the evidence that another VM could not write."""
+        parsed = quarantine.parse_document(state.unsent_evidence)
+        if parsed.is_error():
+            self._log.emit(
+                base.Event.PEER_REJECTED, peer=record.id, reason=parsed.error
+            )
+            return
+        self.ledger.merge(parsed.ok, published=False, own=self.can_gather)
+
     def _handle_gatherer_state(
         self, record: fleet.VmRecord, state: fleet.GathererState
     ) -> None:
-        """Apply the version and the limits of a gatherer's state."""
+        """Apply the version, limits and evidence of a gatherer's state."""
+        self._merge_evidence(record, state)
         self._relay.update_version(state.version)
         if not self.is_gatherer() and state.version >= self._relay.version:
             self._on_limits(state.limits)
@@ -351,7 +405,8 @@
     def _handle_peer_state(
         self, record: fleet.VmRecord, state: fleet.GathererState
     ) -> None:
-        """Apply a peer's state: its routes, and its items if needed."""
+        """Apply a peer's state: evidence, routes, and its items if needed."""
+        self._merge_evidence(record, state)
         self._detour.update_version(state.version)
         self._peer_sync.handle_state(record, state)
 
@@ -423,6 +478,10 @@
             "store_calls_total": lambda: self._store.request_count,
             "store_current": lambda: self._store_sync.current,
             "leafs_known": lambda: len(self._leaf_registry.pool_by_id),
+            "requests_quarantined_total": lambda: self._gate.refused_count,
+            "requests_suspected": lambda: len(
+                self.ledger.record_by_fingerprint
+            ),
             "services_lost": lambda: len(self._reach.lost_services),
             "vms_gathering": lambda: len(self._directory.record_by_id),
             "draining": lambda: self.stopping,
