BUDGET: leaves that end for other reasons bar no request

Cause: a VM without a path to the leaves lost all its calls, and leaves that ended seconds later for another reason were taken to have ended under them; a reset by the timeout of this side counted like one by the leaf; relaying VMs got evidence without what cleared it. Change: a refusal counts within 0.5 s of the loss, a removed entry within 5 s and only if nothing has accepted a connection since; a call counts only if nothing had failed toward the leaf since its last answer; late resets do not count; relaying VMs take no evidence over. Runs repeat across processes: connections end in the order of their opening, and names hash alike.

--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -19,8 +19,10 @@
     """Transport at one end of a connection.
 
     Attributes:
+        number: Number of the connection, in the order of their opening.
         peer: Transport at the other end.
         protocol: Protocol that receives the data.
+        source: Name of who opened the connection, at the accepting end.
         silent: Whether everything sent from this end is lost.
         disconnecting: Whether this end has begun an orderly close.
     """
@@ -31,9 +33,11 @@
         "_last_delivery_at",
         "_open",
         "disconnecting",
+        "number",
         "peer",
         "protocol",
         "silent",
+        "source",
     )
 
     def __init__(self, *, clock: base.Clock, delay_s: float) -> None:
@@ -43,6 +47,8 @@
         self._last_delivery_at = 0.0
         self.disconnecting = False
         self.silent = False
+        self.source = ""
+        self.number = 0
         self.peer: MemoryTransport
         self.protocol: Any = None
 
@@ -172,6 +178,8 @@
         client = MemoryTransport(clock=self._clock, delay_s=_ONE_WAY_DELAY_S)
         server = MemoryTransport(clock=self._clock, delay_s=_ONE_WAY_DELAY_S)
         client.peer, server.peer = server, client
+        server.source = getattr(factory, "source", "")
+        client.number = server.number = len(self.transports)
         for transport, protocol_factory in (
             (server, server_factory),
             (client, factory),
--- a/trefoilpier/http1/client_connection.py
+++ b/trefoilpier/http1/client_connection.py
@@ -26,6 +26,8 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 _TCP_USER_TIMEOUT_MS = 1500  # Survives two losses in a row on a lossy link.
+# A reset this long after a request may be that timeout instead.
+_PEER_RESET_MAX_S = 0.9 * _TCP_USER_TIMEOUT_MS / 1000
 _MIN_FINAL_STATUS = 200
 _BODILESS_STATUSES = frozenset((204, 304))
 
@@ -44,7 +46,8 @@
     Attributes:
         reason: Why there is no response.
         sent: Whether the request may have been sent, and so executed.
-        disconnected: Whether the other side closed the connection.
+        disconnected: Whether the other side has closed the connection, and not
+            a timeout on this one.
     """
 
     reason: str
@@ -127,6 +130,7 @@
         self._malformed = False
         self._responses: list[message.HttpResponse] = []
         self._socket: socket.socket | None = None
+        self._sent_at = 0.0
         self.open = False
         self.idle_since = 0.0
         self.reuse_until = float("inf")
@@ -181,6 +185,7 @@
         self._request_id = request_id
         self._method = method
         self._on_complete = on_complete
+        self._sent_at = self._clock.monotonic()
         self.sent_count += 1
         self._header_bytes = 0
         self._body_bytes = 0
@@ -335,7 +340,7 @@
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """End the request; an orderly close may complete its response."""
-        was_aborted = not self.open
+        was_open = self.open
         self.open = False
         orderly = reason is not None and reason.check(error.ConnectionDone)
         if (
@@ -354,11 +359,16 @@
                 on_complete(
                     RequestFailed(
                         reason=f"connection {how} before a complete response",
-                        disconnected=not was_aborted,
+                        disconnected=was_open
+                        and (orderly or self._is_reset_by_peer()),
                     )
                 )
         self._events.closed(self)
 
+    def _is_reset_by_peer(self) -> bool:
+        """Return whether a reset comes too early for a timeout."""
+        return self._clock.monotonic() - self._sent_at < _PEER_RESET_MAX_S
+
     def _is_complete_at_close(self) -> bool:
         return (
             self._in_message and self._body_until_close and not self._malformed
--- a/trefoilpier/replicas/call.py
+++ b/trefoilpier/replicas/call.py
@@ -70,6 +70,8 @@
         sent_at: Monotonic time of sending; 0 before.
         on_end: Called once with the result.
         suspect: Whether the request may crash the leaf.
+        sent_in_contact: Whether nothing had failed toward the leaf since its
+            last answer when the call was sent.
     """
 
     __slots__ = (
@@ -83,6 +85,7 @@
         "repeatable",
         "request_id",
         "sent_at",
+        "sent_in_contact",
         "started_at",
         "suspect",
     )
@@ -123,5 +126,6 @@
         self.on_end = on_end
         self.connection: http1.ClientConnection | None = None
         self.sent_at = 0.0
+        self.sent_in_contact = False
         self.started_at = 0.0
         self.done = False
--- a/trefoilpier/replicas/ends.py
+++ b/trefoilpier/replicas/ends.py
@@ -1,8 +1,8 @@
 """Whether a leaf has ended, and which calls it was running then.
 
 A lost connection alone does not tell: it may have been reset while the leaf
-runs on. The leaf has ended if it then refuses connections, or if its entry is
-removed or replaced soon after. It has not if it answers another request.
+runs on. The leaf has ended if it refuses the next connection, or if its entry
+is removed or replaced soon after. It has not if it answers another request.
 """
 
 import abc
@@ -13,9 +13,10 @@
     from trefoilpier.replicas import call as calls
     from trefoilpier.replicas import pool
 
-# The entry of a leaf that has ended is removed after three missed heartbeats;
-# a store outage may delay that.
-_PENDING_MAX_S = 10.0
+# A leaf of which connections were lost is connected to at once.
+_REFUSED_WITHIN_S = 0.5
+# The entry of a leaf that has ended is removed after three missed heartbeats.
+_REMOVED_WITHIN_S = 5.0
 # A leaf may run a cancelled call to its end.
 _CANCELLED_MAX_S = 1.0
 _CANCELLED_KEPT = 8  # Cancelled calls remembered for each leaf.
@@ -78,6 +79,7 @@
     """Decides whether one leaf has ended while it was running calls."""
 
     __slots__ = (
+        "_accepted_since_loss",
         "_cancelled",
         "_lost",
         "_observer",
@@ -97,6 +99,7 @@
         self._pool = pool
         self._observer = observer
         self._lost: list[RunningCall] = []
+        self._accepted_since_loss = False
         self._cancelled: list[RunningCall] = []
         # Monotonic time of the last report; None while the leaf runs.
         self._reported_at: float | None = None
@@ -109,11 +112,15 @@
     def record_lost(self, call: "calls.LeafCall", now: float) -> None:
         """Record a call whose connection was closed before its answer.
 
-        A leaf that is known to leave may end at any time.
+        A leaf that is known to leave may end at any time. If calls before this
+        one have failed and none was answered since, it may not have arrived.
         """
         if call.identity is None or self._pool.leaving:
             return
+        if not call.sent_in_contact:
+            return
         self._lost.append(_running(call, call.identity, now))
+        self._accepted_since_loss = False
 
     def record_cancelled(self, call: "calls.LeafCall", now: float) -> None:
         """Record a call that was cancelled while it was in flight."""
@@ -123,11 +130,24 @@
 
     def record_refused(self, now: float) -> None:
         """Record that the leaf refused a connection."""
-        self._report("connection refused", now)
+        self._report("connection refused", now, within_s=_REFUSED_WITHIN_S)
+
+    def record_accepted(self) -> None:
+        """Record that the leaf's address accepted a connection."""
+        self._accepted_since_loss = True
+
+    def record_removed(
+        self, reason: str, now: float, *, replaced: bool
+    ) -> None:
+        """Record that the leaf's entry was removed or replaced.
 
-    def record_removed(self, reason: str, now: float) -> None:
-        """Record that the leaf's entry was removed or replaced."""
-        self._report(reason, now)
+        Args:
+            reason: Why it was removed.
+            now: Monotonic time.
+            replaced: Whether another process is in its place.
+        """
+        if replaced or not self._accepted_since_loss:
+            self._report(reason, now, within_s=_REMOVED_WITHIN_S)
 
     def record_answer(self, sent_at: float) -> None:
         """Record the leaf's answer to a request, which shows that it runs.
@@ -143,9 +163,9 @@
             self._reported_at = None
             self._observer.handle_alive(self._pool)
 
-    def _report(self, evidence: str, now: float) -> None:
+    def _report(self, evidence: str, now: float, *, within_s: float) -> None:
         running = [
-            each for each in self._lost if now - each.ended_at < _PENDING_MAX_S
+            each for each in self._lost if now - each.ended_at < within_s
         ]
         self._lost = []
         if not running:
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -58,6 +58,7 @@
         "_clock",
         "_connections",
         "_contact",
+        "_failed_since_answer",
         "_id_header",
         "_idle",
         "_next_warm_up_at",
@@ -127,6 +128,7 @@
         self._rests_until = 0.0
         self._send_timer: base.Timer | None = None
         self._contact = contact.LeafContact()
+        self._failed_since_answer = False
         self.end_detector = ends.LeafEndDetector(
             pool=self, observer=end_observer or ends.NullLeafEndObserver()
         )
@@ -303,12 +305,14 @@
             return
         call.connection = connection
         call.sent_at = self._clock.monotonic()
+        call.sent_in_contact = not self._failed_since_answer
         self._contact.start_wait(call.sent_at)
 
         def ended(
             outcome: http1.ResponseReceived | http1.RequestFailed,
         ) -> None:
             call.connection = None
+            self._failed_since_answer = isinstance(outcome, http1.RequestFailed)
             if isinstance(outcome, http1.RequestFailed):
                 if connection.sent_count == 1:
                     # A new connection that brought no answer.
@@ -401,6 +405,7 @@
         self._opening_count -= 1
         if refused and not self.leaving:
             self.end_detector.record_refused(self._clock.monotonic())
+        self._failed_since_answer = True
         self.stats.record_connect_failure(self._clock.monotonic())
         self._contact.record_connect_failure()
         waiting = self._waiting_calls[self._opening_count :]
@@ -422,6 +427,7 @@
         waits for it, which shows as much.
         """
         self._opening_count -= 1
+        self.end_detector.record_accepted()
         self._connections.add(connection)
         lost = self._contact.is_lost(self._clock.monotonic())
         if lost and self.health_request and not self._waiting_calls:
@@ -446,6 +452,7 @@
             outcome: http1.ResponseReceived | http1.RequestFailed,
         ) -> None:
             timer.cancel()
+            self._failed_since_answer = isinstance(outcome, http1.RequestFailed)
             if isinstance(outcome, http1.ResponseReceived):
                 self._on_regained(self)
                 self._handle_contact()
@@ -458,6 +465,7 @@
 
     def _give_up_probe(self, connection: http1.ClientConnection) -> None:
         self._contact.record_connect_failure()
+        self._failed_since_answer = True
         connection.cancel_request()
 
     def freed(self, connection: http1.ClientConnection) -> None:
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -216,7 +216,7 @@
             entry = dataclasses.replace(entry, phase=entries.LeafPhase.LEAVING)
         current = self.pool_by_id.get(entry.id)
         if current is not None and not current.entry.is_same_process(entry):
-            self._remove(entry.id, "leaf restarted")
+            self._remove(entry.id, "leaf restarted", replaced=True)
             current = None
         if current is None:
             if entry.phase is entries.LeafPhase.LEAVING:
@@ -323,14 +323,18 @@
             for service_pool in self.pools_by_service[service]:
                 service_pool.stats.end_ejection()
 
-    def _remove(self, leaf_id: str, reason: str) -> None:
+    def _remove(
+        self, leaf_id: str, reason: str, *, replaced: bool = False
+    ) -> None:
         removed = self.pool_by_id.pop(leaf_id, None)
         if removed is None:
             return
         self.generation += 1
         self._departures.record(removed.entry)
         self._remove_from_service(removed)
-        removed.end_detector.record_removed(reason, self._clock.monotonic())
+        removed.end_detector.record_removed(
+            reason, self._clock.monotonic(), replaced=replaced
+        )
         removed.stop_accepting()
         self._log.emit(
             base.Event.LEAF_DOWN,
@@ -365,7 +369,9 @@
 
     def remove_replaced(self, leaf_id: str) -> None:
         """Remove a leaf whose address is now used by another leaf."""
-        self._remove(leaf_id, "another leaf now uses the address")
+        self._remove(
+            leaf_id, "another leaf now uses the address", replaced=True
+        )
 
     def is_out_of_contact(self, service: str) -> bool:
         """Return whether this VM reaches no leaf of a service that has any."""
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -391,13 +391,12 @@
                 base.Event.PEER_REJECTED, peer=record.id, reason=parsed.error
             )
             return
-        self.ledger.merge(parsed.ok, published=False, own=self.can_gather)
+        self.ledger.merge(parsed.ok, published=False, own=True)
 
     def _handle_gatherer_state(
         self, record: fleet.VmRecord, state: fleet.GathererState
     ) -> None:
-        """Apply the version, limits and evidence of a gatherer's state."""
-        self._merge_evidence(record, state)
+        """Apply the version and the limits of a gatherer's state."""
         self._relay.update_version(state.version)
         if not self.is_gatherer() and state.version >= self._relay.version:
             self._on_limits(state.limits)
