RECOVER: a call that waits for a connection makes it no contact

Cause: a connection that something on the way accepted counted as contact with the leaf if a call waited for it, though only an answer shows contact. With six leaves and few requests there was always one in contact, so that the service never counted as lost and no request went over a peer. Evidence: the log of vm-5 lists all shards as lost from 1.4 s of the cut on and 'single' never; it answers reads and writes with 504 up to the end. Change: only an answer ends the loss of contact. Once two leaves of a service are out of contact, the others that have not answered for a second get a health check over a new connection.

--- a/trefoilpier/fleet/reach.py
+++ b/trefoilpier/fleet/reach.py
@@ -5,6 +5,9 @@
 from trefoilpier import base, replicas
 
 _CHECK_PAUSE_S = 0.1  # A small part of a caller's time.
+# One leaf may be down by itself. If more are out of contact, the others of
+# their service may be so too without a call that shows it.
+_DOUBTFUL_MIN = 2
 
 
 class ServiceReach:
@@ -56,11 +59,22 @@
         self._check()
         self._clock.call_later(_CHECK_PAUSE_S, self.start)
 
+    def _is_lost(self, service: str) -> bool:
+        """Return whether a service is lost; check its leaves if in doubt."""
+        lost_count = self._registry.count_out_of_contact(service)
+        if not lost_count:
+            return False
+        if self._registry.is_out_of_contact(service):
+            return True
+        if lost_count >= _DOUBTFUL_MIN:
+            self._registry.check_contact(service)
+        return False
+
     def _check(self) -> None:
         lost = frozenset(
             service
             for service in self._get_services()
-            if self._registry.is_out_of_contact(service)
+            if self._is_lost(service)
         )
         if lost == self.lost_services:
             return
--- a/trefoilpier/replicas/contact.py
+++ b/trefoilpier/replicas/contact.py
@@ -18,12 +18,22 @@
     >>> contact.record_answer(10.6)
     >>> contact.is_lost(10.6)
     False
+
+    Attributes:
+        answered_at: Monotonic time of the last answer; 0 if there was none.
     """
 
-    __slots__ = ("_connect_failed", "_silent_s", "_waiting_count", "_waits_at")
+    __slots__ = (
+        "_connect_failed",
+        "_silent_s",
+        "_waiting_count",
+        "_waits_at",
+        "answered_at",
+    )
 
     def __init__(self) -> None:
         """Start in contact."""
+        self.answered_at = 0.0
         self._connect_failed = False
         self._silent_s = 0.0
         self._waiting_count = 0
@@ -46,6 +56,7 @@
         self._connect_failed = False
         self._silent_s = 0.0
         self._waits_at = now
+        self.answered_at = now
 
     def record_connect_failure(self) -> None:
         """Record a failure to connect, or a new connection without answer."""
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -17,6 +17,8 @@
 _OVERDUE_FACTOR = 3.0  # Multiple of the median latency that few calls exceed.
 _PROBE_TIMEOUT_S = 0.4  # Longer than the pauses of a leaf.
 _WARM_UP_RETRY_S = 1.0  # Interval between attempts to connect in advance.
+# A leaf that has answered within this time needs no check of its health.
+_ANSWER_VALID_S = 1.0
 # All connections of a leaf that has ended are lost within this time.
 _LOSS_CHECK_PAUSE_S = 0.02
 
@@ -61,6 +63,7 @@
         "_failed_since_answer",
         "_id_header",
         "_idle",
+        "_in_doubt",
         "_next_warm_up_at",
         "_on_capacity",
         "_on_regained",
@@ -129,6 +132,8 @@
         self._send_timer: base.Timer | None = None
         self._contact = contact.LeafContact()
         self._failed_since_answer = False
+        # Whether the next connection has to show that the leaf answers.
+        self._in_doubt = False
         self.end_detector = ends.LeafEndDetector(
             pool=self, observer=end_observer or ends.NullLeafEndObserver()
         )
@@ -252,6 +257,19 @@
         self._next_warm_up_at = now + _WARM_UP_RETRY_S
         self._connect()
 
+    def check_contact(self) -> None:
+        """Check the health of a leaf that has not answered lately."""
+        now = self._clock.monotonic()
+        if now - self._contact.answered_at < _ANSWER_VALID_S:
+            return
+        if self._opening_count or now < self._next_warm_up_at or self.leaving:
+            return
+        if len(self._connections) >= self.connections_max:
+            return
+        self._next_warm_up_at = now + _WARM_UP_RETRY_S
+        self._in_doubt = True
+        self._connect()
+
     def start(self, call: calls.LeafCall) -> None:
         """Start a call; `has_capacity` must be true."""
         call.started_at = self._clock.monotonic()
@@ -424,14 +442,20 @@
 
         While the leaf is out of contact, a connection proves little: something
         on the way may have accepted it. It is probed first, unless a call
-        waits for it, which shows as much.
+        waits for it, whose answer shows as much.
         """
         self._opening_count -= 1
         self.end_detector.record_accepted()
         self._connections.add(connection)
-        lost = self._contact.is_lost(self._clock.monotonic())
-        if lost and self.health_request and not self._waiting_calls:
-            self._probe(connection, self.health_request)
+        in_doubt = self._in_doubt or self._contact.is_lost(
+            self._clock.monotonic()
+        )
+        self._in_doubt = False
+        if in_doubt and self.health_request:
+            if self._waiting_calls:
+                self._assign(connection)
+            else:
+                self._probe(connection, self.health_request)
             return
         self._handle_contact()
         self._assign(connection)
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -375,13 +375,24 @@
 
     def is_out_of_contact(self, service: str) -> bool:
         """Return whether this VM reaches no leaf of a service that has any."""
+        count = len(self.pools_by_service.get(service, ()))
+        return count > 0 and self.count_out_of_contact(service) == count
+
+    def count_out_of_contact(self, service: str) -> int:
+        """Return how many leaves of a service this VM does not reach."""
         now = self._clock.monotonic()
-        service_pools = self.pools_by_service.get(service)
-        return bool(service_pools) and all(
+        return sum(
             service_pool.is_out_of_contact(now)
-            for service_pool in service_pools
+            for service_pool in self.pools_by_service.get(service, ())
         )
 
+    def check_contact(self, service: str) -> None:
+        """Check the health of a service's leaves that are in contact."""
+        now = self._clock.monotonic()
+        for service_pool in self.pools_by_service.get(service, ()):
+            if not service_pool.is_out_of_contact(now):
+                service_pool.check_contact()
+
     def warm_up_leaves(self, services: Iterable[str]) -> None:
         """Open a connection to each leaf of the services in advance."""
         for service in services:
--- a/trefoilpier/tier/tests/test_cut_from_leaves.py
+++ b/trefoilpier/tier/tests/test_cut_from_leaves.py
@@ -7,6 +7,8 @@
 
 _CONTACT_S = 4.0  # The platform judges cut VMs after this time.
 _RATE = 70.0  # Requests a second.
+_READS = (b"/r/1", b"/w/1")  # Of one service, whatever its leaves.
+_READ_RATE = 21.0  # Three requests a second to each VM.
 
 
 def make_fleet(tmp_path, *, large=7, small=0, seed=1):
@@ -51,6 +53,22 @@
     assert served_share(answers, stranded) >= 0.99
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("how", list(memory_fleet.LeafCut))
+def test_rare_requests_to_many_leaves_wait_at_connections_that_hang(
+    tmp_path, how, seed
+):
+    fleet = make_fleet(tmp_path, seed=seed)
+    for replica in range(3, 9):
+        fleet.add_leaf(0, replica)
+    fleet.run_load(seconds=3.0, rate=_RATE, targets=_READS)
+    stranded = fleet.vms[:4]
+    cut(stranded, how)
+    fleet.run_load(seconds=_CONTACT_S, rate=_READ_RATE, targets=_READS)
+    answers = fleet.run_load(seconds=6.0, rate=_READ_RATE, targets=_READS)
+    assert served_share(answers, stranded) >= 0.99
+
+
 @pytest.mark.parametrize("how", list(memory_fleet.LeafCut))
 def test_callers_of_small_vms_are_served_worse_if_their_gatherers_are_cut_off(
     tmp_path, how
