--- a/trefoilpier/cli/app.py
+++ b/trefoilpier/cli/app.py
@@ -5,7 +5,11 @@
 import cleo.application
 
 from trefoilpier import __version__
-from trefoilpier.cli import objects_commands, vm_commands
+from trefoilpier.cli import (
+    objects_commands,
+    quarantine_commands,
+    vm_commands,
+)
 
 
 def make_application() -> cleo.application.Application:
@@ -15,7 +19,11 @@
     True
     """
     application = cleo.application.Application("trefoilpier", __version__)
-    for command in (*objects_commands.COMMANDS, *vm_commands.COMMANDS):
+    for command in (
+        *objects_commands.COMMANDS,
+        *vm_commands.COMMANDS,
+        *quarantine_commands.COMMANDS,
+    ):
         application.add(command())
     return application
 
--- a/trefoilpier/forward/environment.py
+++ b/trefoilpier/forward/environment.py
@@ -39,6 +39,8 @@
         """Return whether a request may not be sent to any further leaf."""
         if self.gate is None or context.identity is None:
             return False
+        if context.on_trial and context.lost_count:
+            return True
         return context.seems_to_crash_leaves or self.gate.is_barred(
             context.identity
         )
--- a/trefoilpier/http1/client_connection.py
+++ b/trefoilpier/http1/client_connection.py
@@ -26,8 +26,9 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 _TCP_USER_TIMEOUT_MS = 1500  # Survives two losses in a row on a lossy link.
-# A reset this long after a request may be that timeout instead.
-_PEER_RESET_MAX_S = 0.9 * _TCP_USER_TIMEOUT_MS / 1000
+# A reset this long after a request may come from a path that hangs. A server
+# that ends mostly closes its connections in order.
+_PEER_RESET_MAX_S = 0.4
 _MIN_FINAL_STATUS = 200
 _BODILESS_STATUSES = frozenset((204, 304))
 
@@ -366,7 +367,7 @@
         self._events.closed(self)
 
     def _is_reset_by_peer(self) -> bool:
-        """Return whether a reset comes too early for a timeout."""
+        """Return whether a reset is too early for a path that hangs."""
         return self._clock.monotonic() - self._sent_at < _PEER_RESET_MAX_S
 
     def _is_complete_at_close(self) -> bool:
--- a/trefoilpier/quarantine/evidence.py
+++ b/trefoilpier/quarantine/evidence.py
@@ -55,11 +55,13 @@
         cleared: Incarnations whose ends do not count: the same service has
             answered the request since, the leaf turned out to run, or an
             operator has lifted the bar.
+        answered_ms: Time of the last answer of any service; 0 if none is known.
     """
 
     description: str
     end_by_leaf: dict[str, LeafEnd] = field(default_factory=dict)
     cleared: set[str] = field(default_factory=set)
+    answered_ms: int = 0
 
     @property
     def counting_ends(self) -> list[LeafEnd]:
@@ -121,6 +123,9 @@
         self._drop_oldest()
         new_cleared = (other.cleared & self.end_by_leaf.keys()) - self.cleared
         self.cleared |= new_cleared
+        if other.answered_ms > self.answered_ms:
+            self.answered_ms = other.answered_ms
+            changed = True
         return changed or bool(new_cleared)
 
     def clear(self, leaves: Iterable[str]) -> set[str]:
@@ -169,6 +174,9 @@
 def judge(record: RequestRecord, now_ms: int) -> Verdict:
     """Return what a request may do.
 
+    The ends count in one service, where an answer of that service clears them,
+    and over all services, where an answer of any service does.
+
     >>> record = RequestRecord(description="GET /a")
     >>> for k in range(3):
     ...     at = 1_000 * k
@@ -181,10 +189,32 @@
     >>> judge(record, 2_100 + _BAR_MIN_MS).standing
     <Standing.RELEASED: 'released'>
     """
+    ends = record.counting_ends
+    groups = [[end for end in ends if end.ended_ms > record.answered_ms]]
+    groups += [
+        [end for end in ends if end.service == service]
+        for service in {end.service for end in ends}
+    ]
+    until_ms = max(map(_compute_bar_end, groups))
+    if now_ms < until_ms:
+        return Verdict(standing=Standing.BARRED, until_ms=until_ms)
+    if until_ms and now_ms < until_ms + _PROBATION_MS:
+        return Verdict(standing=Standing.RELEASED, until_ms=until_ms)
+    if ends and now_ms - ends[-1].ended_ms < _SUSPICION_MAX_MS:
+        return Verdict(standing=Standing.SUSPECT)
+    return _CLEAR
+
+
+def _compute_bar_end(ends: list[LeafEnd]) -> int:
+    """Return when the bar ends that some ends justify; 0 if they do not.
+
+    Args:
+        ends: The ends, oldest first.
+    """
     until_ms = 0
     bar_ms = _BAR_MIN_MS
     counted: list[LeafEnd] = []
-    for end in record.counting_ends:
+    for end in ends:
         if until_ms:
             if end.sent_ms > until_ms:
                 bar_ms = min(_BAR_MAX_MS, _BAR_GROWTH * bar_ms)
@@ -198,15 +228,7 @@
         counted.append(end)
         if len(counted) >= _ENDS_MIN and _count_runs(counted) >= _RUNS_MIN:
             until_ms = end.ended_ms + bar_ms
-    if until_ms:
-        if now_ms < until_ms:
-            return Verdict(standing=Standing.BARRED, until_ms=until_ms)
-        if now_ms < until_ms + _PROBATION_MS:
-            return Verdict(standing=Standing.RELEASED, until_ms=until_ms)
-        return _CLEAR
-    if counted and now_ms - counted[-1].ended_ms < _SUSPICION_MAX_MS:
-        return Verdict(standing=Standing.SUSPECT)
-    return _CLEAR
+    return until_ms
 
 
 def _count_runs(ends: list[LeafEnd]) -> int:
@@ -222,6 +244,7 @@
 
 def is_expired(record: RequestRecord, now_ms: int) -> bool:
     """Return whether a record has no effect any more, cleared ends included."""
-    if now_ms - record.last_ended_ms < _SUSPICION_MAX_MS:
+    last_ms = max(record.last_ended_ms, record.answered_ms)
+    if now_ms - last_ms < _SUSPICION_MAX_MS:
         return False
     return judge(record, now_ms).standing is Standing.CLEAR
--- a/trefoilpier/quarantine/ledger.py
+++ b/trefoilpier/quarantine/ledger.py
@@ -89,10 +89,7 @@
         record = self._record_for(fingerprint, identity.description)
         if not record.add(leaf, end):
             return
-        own = self.own_by_fingerprint.setdefault(
-            fingerprint,
-            evidence.RequestRecord(description=identity.description),
-        )
+        own = self._own_record_for(fingerprint, identity.description)
         own.end_by_leaf[leaf] = end
         self._changed(own=True)
         self.judge(fingerprint)
@@ -108,6 +105,7 @@
         """Record that a leaf of a service has answered a request."""
         record = self.record_by_fingerprint.get(fingerprint)
         if record is not None:
+            self._record_answer(fingerprint, record)
             self._clear(
                 fingerprint,
                 [
@@ -118,6 +116,25 @@
                 "answered by the service",
             )
 
+    def _record_answer(
+        self, fingerprint: str, record: evidence.RequestRecord
+    ) -> None:
+        """Note that a service has answered, if an end since the last counts."""
+        ends = record.counting_ends
+        if not ends or ends[-1].ended_ms <= record.answered_ms:
+            return
+        record.answered_ms = self.now_ms()
+        own = self._own_record_for(fingerprint, record.description)
+        own.answered_ms = record.answered_ms
+        self._changed(own=True)
+
+    def _own_record_for(
+        self, fingerprint: str, description: str
+    ) -> evidence.RequestRecord:
+        return self.own_by_fingerprint.setdefault(
+            fingerprint, evidence.RequestRecord(description=description)
+        )
+
     def clear_leaf(self, leaf: str) -> None:
         """Record that a leaf runs that was taken to have ended."""
         for fingerprint in list(self.record_by_fingerprint):
@@ -142,9 +159,7 @@
         cleared = record.clear(leaves)
         if not cleared:
             return
-        own = self.own_by_fingerprint.setdefault(
-            fingerprint, evidence.RequestRecord(description=record.description)
-        )
+        own = self._own_record_for(fingerprint, record.description)
         for leaf in cleared:
             own.end_by_leaf[leaf] = record.end_by_leaf[leaf]
         own.cleared |= cleared
@@ -183,9 +198,8 @@
             if published:
                 self._shared.add(fingerprint)
             if own:
-                own_changed |= self.own_by_fingerprint.setdefault(
-                    fingerprint,
-                    evidence.RequestRecord(description=record.description),
+                own_changed |= self._own_record_for(
+                    fingerprint, record.description
                 ).merge(record)
         if changed:
             self._changed(own=own_changed and not published)
@@ -344,6 +358,7 @@
                 for leaf, end in record.end_by_leaf.items()
             },
             "cleared": sorted(record.cleared),
+            "answered_ms": record.answered_ms,
         }
         for fingerprint, record in records.items()
     }
@@ -393,4 +408,5 @@
             for leaf, (service, sent_ms, ended_ms) in row["ends"].items()
         },
         cleared={str(leaf) for leaf in row["cleared"]},
+        answered_ms=int(row["answered_ms"]),
     )
--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -11,7 +11,7 @@
 from twisted.internet import error, reactor
 
 from trefoilpier import base, fleet, forward, http1, platform
-from trefoilpier.tier import line_log, metrics, pages, vm
+from trefoilpier.tier import line_log, metrics, pages, quarantine_pages, vm
 
 EXIT_OK = 0
 EXIT_INVALID_SETTINGS = 3
@@ -68,15 +68,24 @@
             CannotListenError: A port cannot be bound.
         """
         boot = self._boot
-        page_handler = pages.PageHandler(
-            page_by_path={
-                b"/ready": self._ready_page,
-                b"/metrics": self._metrics_page,
-            }
-        )
+        page_by_path = {
+            b"/ready": self._ready_page,
+            b"/metrics": self._metrics_page,
+        }
+        bars = quarantine_pages.QuarantinePages(ledger=self._vm.ledger)
         self._listen(boot.caller_address, self._vm.request_dispatcher)
-        self._listen(boot.readiness_address, page_handler)
-        self._listen_metrics(page_handler)
+        self._listen(
+            boot.readiness_address, pages.PageHandler(page_by_path=page_by_path)
+        )
+        self._listen_metrics(
+            pages.PageHandler(
+                page_by_path={
+                    **page_by_path,
+                    quarantine_pages.LIST_PATH: bars.list_requests,
+                    quarantine_pages.LIFT_PATH: bars.lift,
+                }
+            )
+        )
         record = self._own_record()
         if self._vm.can_gather:
             self._listen_for_peers(record)
@@ -149,10 +158,10 @@
         elif not self._vm.stopping:
             self._clock.call_later(_READY_CHECK_PAUSE_S, self._log_when_ready)
 
-    def _ready_page(self) -> http1.HttpResponse:
+    def _ready_page(self, request: http1.HttpRequest) -> http1.HttpResponse:
         return http1.HttpResponse(status=200 if self._vm.ready() else 503)
 
-    def _metrics_page(self) -> http1.HttpResponse:
+    def _metrics_page(self, request: http1.HttpRequest) -> http1.HttpResponse:
         return http1.HttpResponse(
             status=200,
             headers=[(b"content-type", b"text/plain; version=0.0.4")],
--- a/trefoilpier/tier/pages.py
+++ b/trefoilpier/tier/pages.py
@@ -1,4 +1,4 @@
-"""Server of the readiness and metrics pages."""
+"""Server of the pages for the balancer and for operators."""
 
 from collections.abc import Callable
 
@@ -11,7 +11,11 @@
     __slots__ = ("_page_by_path",)
 
     def __init__(
-        self, *, page_by_path: dict[bytes, Callable[[], http1.HttpResponse]]
+        self,
+        *,
+        page_by_path: dict[
+            bytes, Callable[[http1.HttpRequest], http1.HttpResponse]
+        ],
     ) -> None:
         self._page_by_path = page_by_path
 
@@ -22,7 +26,7 @@
         if page is None:
             exchange.respond(http1.HttpResponse(status=404))
             return
-        exchange.respond(page())
+        exchange.respond(page(exchange.request))
 
     def rejected(self, status: int, reason: str) -> None:
         """Ignore a malformed request; no caller's request depends on it."""
--- a/trefoilpier/tier/tests/test_crashing_requests.py
+++ b/trefoilpier/tier/tests/test_crashing_requests.py
@@ -1,8 +1,11 @@
 """Tests of a fleet with requests that crash the leaves that run them."""
 
+import orjson
 import pytest
 
 from standins import leaf_rules, memory_fleet, memory_tier
+from trefoilpier import base, http1
+from trefoilpier.tier import quarantine_pages
 
 _GAP_S = 1.2  # Between two requests that crash leaves.
 
@@ -51,3 +54,144 @@
     run_beside(fleet, target, method=method, seconds=16.0)
     record = fleet.crash_record(target)
     assert list(leaf_rules.crash_violations(target, record)) == []
+
+
+def is_barred(row):
+    return row[0] is base.Event.QUARANTINE_BARRED
+
+
+def others(answers, target):
+    return [each for each in answers if each.target != target]
+
+
+@pytest.mark.parametrize("prefix", [b"/r", b"/g"])
+def test_popular_requests_beside_it_are_refused(tmp_path, prefix):
+    fleet = make_fleet(tmp_path)
+    target = memory_fleet.crashing_target(prefix)
+    fleet.clock.call_later(0.0, fleet.send_request, target)
+    # Callers keep two slots of each leaf busy with the same two requests.
+    popular = (b"/g/1", b"/r/1")
+    first = len(fleet.answers)
+    for number in range(6):
+        fleet.clock.call_later(number * 0.6, fleet.send_request, target)
+    fleet.run_load(seconds=8.0, rate=200.0, targets=popular)
+    answers = others(fleet.answers[first:], target)
+    barred = {row[1]["request"] for row in fleet.log.rows if is_barred(row)}
+    assert barred == {f"GET soak.example{target.decode()}"}
+    # Leaves that it has crashed before it was barred are back by then.
+    last_crash = max(fleet.crash_record(target).crashes)
+    later = [each for each in answers if each.sent_at > last_crash + 3.0]
+    assert len(later) > 300
+    assert all(each.status == 200 for each in later)
+
+
+def test_leaves_that_end_all_at_once_bar_a_request(tmp_path):
+    fleet = make_fleet(tmp_path)
+    for number in range(4):
+        fleet.clock.call_later(0.5 + 3.0 * number, crash_all, fleet)
+    fleet.run_load(
+        seconds=16.0, rate=100.0, targets=(b"/g/1", b"/r/1", b"/w/1")
+    )
+    assert not any(map(is_barred, fleet.log.rows))
+    answers = fleet.run_load(seconds=3.0, rate=100.0)
+    assert all(each.whole for each in answers)
+
+
+def crash_all(fleet):
+    for leaf_id, each in list(fleet.leaf_by_id.items()):
+        if each.stays:
+            fleet.crash_leaf(leaf_id)
+
+
+def test_vms_that_have_just_started_send_it_again(tmp_path):
+    fleet = make_fleet(tmp_path, large=3, small=3)
+    target = memory_fleet.crashing_target(b"/r")
+    run_beside(fleet, target, seconds=5.0)
+    crashes = len(fleet.crash_record(target).crashes)
+    fleet.kill_all()
+    fleet.start_all()
+    fleet.clock.advance(2.0)
+    run_beside(fleet, target, seconds=12.0)
+    assert len(fleet.crash_record(target).crashes) == crashes
+
+
+def test_evidence_of_a_vm_cut_from_the_store_is_lost(tmp_path):
+    fleet = make_fleet(tmp_path, large=4)
+    target = memory_fleet.crashing_target(b"/w")
+    fleet.model.faults.down = True
+    run_beside(fleet, target, method=b"POST", seconds=12.0)
+    # Without the store the VMs tell each other.
+    assert len(fleet.crash_record(target).crashes) <= 6
+    fleet.model.faults.down = False
+    fleet.clock.advance(4.0)
+    stored = fleet.model.items("tier/quarantine/")
+    assert any("/w/crash" in each.value for each in stored.values())
+
+
+def test_refused_request_has_reached_a_leaf_or_waited(tmp_path):
+    fleet = make_fleet(tmp_path)
+    target = memory_fleet.crashing_target(b"/w")
+    run_beside(fleet, target, method=b"POST", seconds=6.0)
+    arrivals = len(fleet.crash_record(target).arrivals)
+    answers = run_beside(fleet, target, method=b"POST", seconds=6.0)
+    refused = [each for each in answers if each.target == target]
+    assert [each.status for each in refused] == [503] * len(refused)
+    assert max(each.took_s for each in refused) < 0.01
+    assert len(fleet.crash_record(target).arrivals) == arrivals
+
+
+def test_bar_never_ends(tmp_path):
+    fleet = make_fleet(tmp_path, large=3)
+    target = memory_fleet.crashing_target(b"/r")
+    run_beside(fleet, target, seconds=5.0)
+    # The fault that the request met is mended.
+    for each in fleet.leaf_by_id.values():
+        each.leaf.crashes_under = None
+    fleet.clock.advance(61.0)
+    answers = run_beside(fleet, target, seconds=6.0)
+    served = [each.status for each in answers if each.target == target]
+    assert served == [200] * len(served)
+
+
+def test_request_released_from_its_bar_crashes_a_leaf_on_each_vm(tmp_path):
+    fleet = make_fleet(tmp_path, large=5)
+    target = memory_fleet.crashing_target(b"/g")
+    run_beside(fleet, target, seconds=5.0)
+    crashes = len(fleet.crash_record(target).crashes)
+    fleet.clock.advance(61.0)
+    run_beside(fleet, target, seconds=12.0)
+    assert len(fleet.crash_record(target).crashes) == crashes + 1
+
+
+def test_log_names_no_evidence_of_a_bar(tmp_path):
+    fleet = make_fleet(tmp_path, large=3)
+    target = memory_fleet.crashing_target(b"/r")
+    run_beside(fleet, target, seconds=5.0)
+    fields = next(fields for event, fields in filter(is_barred, fleet.log.rows))
+    assert fields["request"] == "GET soak.example/r/crash/1"
+    assert len(fields["leaves"]) == 3
+    assert fields["services"] == ["shard0"]
+    assert 0.0 <= fields["last_end_age_s"] < fields["first_end_age_s"] < 5.0
+    assert 0.0 < fields["ends_in_s"] <= 60.0
+
+
+def test_lift_by_an_operator_reaches_one_vm_only(tmp_path):
+    fleet = make_fleet(tmp_path, large=4)
+    target = memory_fleet.crashing_target(b"/r")
+    run_beside(fleet, target, seconds=5.0)
+    pages = quarantine_pages.QuarantinePages(ledger=fleet.vms[1].process.ledger)
+    listed = orjson.loads(pages.list_requests(make_page_request()).body)
+    (row,) = listed["requests"]
+    assert row["standing"] == "barred"
+    lift = make_page_request(
+        f"/quarantine/lift?fingerprint={row['fingerprint']}"
+    )
+    assert pages.lift(lift).status == 200
+    assert pages.lift(lift).status == 404
+    fleet.clock.advance(3.0)
+    for vm in fleet.vms:
+        assert list(vm.process.ledger.list_requests()) == []
+
+
+def make_page_request(target="/quarantine"):
+    return http1.HttpRequest(method=b"POST", target=target.encode(), headers=[])
