--- a/trefoilpier/quarantine/evidence.py
+++ b/trefoilpier/quarantine/evidence.py
@@ -24,8 +24,8 @@
 # After a bar, one more end renews it for this time.
 _PROBATION_MS = 3_600_000
 # Further ends of the same run are no further evidence.
-_ENDS_KEPT_PER_RUN = 3
-_ENDS_KEPT = 18
+ENDS_KEPT_PER_RUN = 3
+ENDS_KEPT = 18
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -96,14 +96,14 @@
             for known_leaf, other in self.end_by_leaf.items()
             if known_leaf not in self.cleared
         )
-        if same_run >= _ENDS_KEPT_PER_RUN:
+        if same_run >= ENDS_KEPT_PER_RUN:
             return False
         self.end_by_leaf[leaf] = end
         self._drop_oldest()
         return True
 
     def _drop_oldest(self) -> None:
-        surplus = len(self.end_by_leaf) - _ENDS_KEPT
+        surplus = len(self.end_by_leaf) - ENDS_KEPT
         if surplus <= 0:
             return
         by_age = sorted(
