The soak crashes leaves, and repeats requests that crash them

Cause: no fault of the soak ended a leaf's process, and no request did. Change: leaves crash, one to all at once, and come back under a new id; requests of each kind that crash leaves are repeated at any VM until the run ends, beside all other faults. Checked: the rule where neither store nor VMs were disturbed within 4 s, and by the VMs' logs that nothing else is barred. Such requests do not count as callers to be served.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,7 +11,7 @@
 _TIMEOUT_MS = 1500
 _PROBE_PERIOD_S = 0.5
 _FAILED_PROBES_MAX = 2  # Consecutive failures that remove a VM from rotation.
-_REQUEST_KINDS = (("g", b"GET"), ("r", b"GET"), ("w", b"POST"))
+REQUEST_KINDS = (("g", b"GET"), ("r", b"GET"), ("w", b"POST"))
 
 
 @dataclass(slots=True, kw_only=True)
@@ -21,6 +21,7 @@
     Attributes:
         status: HTTP status; -1 while the request is in flight, 0 if the
             connection ended without a response.
+        crashing: Whether it crashes the leaves that run it.
     """
 
     id: str
@@ -29,6 +30,7 @@
     sent_at: float
     ended_at: float = 0.0
     status: int = -1
+    crashing: bool = False
     headers: http1.Headers
     body: bytes = b""
 
@@ -117,22 +119,33 @@
         if self.stopped:
             return
         reactor.callLater(self._period_s, self._send)
+        kind, method = self._rng.choice(REQUEST_KINDS)
+        self.send(kind, method)
+
+    def send(self, kind: str, method: bytes, target: str = "") -> None:
+        """Send one request to a VM in rotation, if there is one.
+
+        Args:
+            kind: Kind of the request.
+            method: Its method.
+            target: Its target if it crashes leaves; otherwise a new one.
+        """
         ready = self.ready_vms
         if not ready:
             return
         name = self._rng.choice(ready)
-        kind, method = self._rng.choice(_REQUEST_KINDS)
         request = RequestRecord(
             id=f"{kind}{len(self.requests)}",
             kind=kind,
             vm=name,
             sent_at=self._clock.monotonic(),
+            crashing=bool(target),
             headers=[],
         )
         self.requests.append(request)
         self._client_by_vm[name].send_request(
             method,
-            f"/{kind}/{len(self.requests)}".encode(),
+            (target or f"/{kind}/{len(self.requests)}").encode(),
             timeout_s=_TIMEOUT_MS / 1000 + 1.0,
             headers=[
                 (b"host", b"soak.example"),
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,7 +3,7 @@
 import collections
 from collections.abc import Iterable, Sequence
 
-from soak import callers, faults
+from soak import callers, crashing, faults
 from standins import leaf_rules, opaque_leaf, published_protocol, tier_world
 
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -23,11 +23,19 @@
     *,
     recovered_at: float,
     applied: Sequence[faults.AppliedFault] = (),
+    crashing_callers: crashing.CrashingCallers | None = None,
 ) -> list[str]:
     """Return a line for each violated guarantee."""
     violations: list[str] = []
     violations += _check_runs(environment, requests)
     violations += _check_answers(environment, requests)
+    violations += crashing.check_only_crashing_are_barred(environment.vms)
+    if crashing_callers is not None:
+        violations += crashing_callers.violations(
+            environment,
+            lambda at: not _was_disrupted(applied, at - _OUTAGE_GRACE_S, at),
+        )
+    requests = [request for request in requests if not request.crashing]
     violations += _check_leaving(environment, applied)
     violations += _check_rate_limits(environment, applied)
     violations += _check_planned_cut(requests, applied)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 
 from twisted.internet import reactor
 
+from soak import crashing
 from standins import link_proxy, opaque_leaf, tier_world
 
 PLANNED = "planned"
@@ -20,6 +21,7 @@
 _RESTORE_OUTAGE_S = 0.6
 _GAP_RANGE_S = (0.3, 2.0)
 _DURATION_RANGE_S = (0.5, 4.0)
+_CRASH_SHARES = (0.0, 0.3, 1.0)  # Of the leaves, at the same time.
 # A limit counts only some seconds after the leaf has named it.
 _RATE_LIMIT_DURATION_S = 8.0
 _RATE_LIMIT_RANGE = (0.5, 3.0)  # Requests a second that a leaf names.
@@ -41,17 +43,26 @@
         applied: The faults injected so far.
     """
 
-    __slots__ = ("_now", "_rng", "_stopped", "_environment", "applied")
+    __slots__ = (
+        "_crashing",
+        "_environment",
+        "_now",
+        "_rng",
+        "_stopped",
+        "applied",
+    )
 
     def __init__(
         self,
         *,
         rng: random.Random,
         environment: tier_world.TierEnvironment,
+        crashing: crashing.CrashingCallers,
         now: Callable[[], float],
     ) -> None:
         self._rng = rng
         self._environment = environment
+        self._crashing = crashing
         self._now = now
         self._stopped = False
         self.applied: list[AppliedFault] = []
@@ -122,6 +133,8 @@
             self._cut_vm_from_leaves,
             self._reshard,
             self._pause_shard,
+            self._crash_leaves,
+            self._request_crashes_leaves,
         )
         seconds = self._rng.uniform(*_DURATION_RANGE_S)
         chosen = self._rng.choice(choices)
@@ -293,6 +306,17 @@
         self._end_after(_RATE_LIMIT_DURATION_S, lambda: leaf.limit_rate(None))
         return f"{leaf.id} limits its rate to {rate}"
 
+    def _crash_leaves(self, seconds: float) -> str:
+        live = self._environment.live_leaves
+        share = self._rng.choice(_CRASH_SHARES)
+        crashed = self._rng.sample(live, max(1, round(share * len(live))))
+        for leaf_instance in crashed:
+            self._environment.crash_leaf(leaf_instance)
+        return f"{len(crashed)} leaves crash"
+
+    def _request_crashes_leaves(self, seconds: float) -> str:
+        return f"{self._crashing.add()} crashes leaves"
+
     def _reshard(self, seconds: float) -> str:
         self._environment.reshard()
         return f"version {self._environment.version}"
--- a/soak/main.py
+++ b/soak/main.py
@@ -11,7 +11,7 @@
 
 from twisted.internet import defer, reactor
 
-from soak import callers, checks, faults
+from soak import callers, checks, crashing, faults
 from standins import tier_world
 from trefoilpier import base
 
@@ -54,9 +54,13 @@
         environment=environment,
         rate=args.rate,
     )
+    crashing_callers = crashing.CrashingCallers(
+        load=load, rng=random.Random(rng.random())
+    )
     injector = faults.FaultInjector(
         rng=random.Random(rng.random()),
         environment=environment,
+        crashing=crashing_callers,
         now=clock.monotonic,
     )
     environment.start()
@@ -79,6 +83,7 @@
         load.requests,
         recovered_at=recovered_at,
         applied=injector.applied,
+        crashing_callers=crashing_callers,
     )
     statuses = collections.Counter(request.status for request in load.requests)
     print(f"seed {seed}: {len(load.requests)} requests, {dict(statuses)}")
--- a/standins/tier_world.py
+++ b/standins/tier_world.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -12,13 +13,14 @@
 
 from standins import (
     httpd,
+    leaf_rules,
     link_proxy,
     opaque_leaf,
     platform,
     platform_model,
     published_protocol,
 )
-from trefoilpier import base
+from trefoilpier import base, http1
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 _HEARTBEAT_INTERVAL_S = 1.0
@@ -26,6 +28,13 @@
 _RESTART_DELAY_S = 0.3  # The platform also restarts after a short delay.
 _LEAVES_PER_SHARD = 3
 _LEAF_SERVICE_TIME_S = 0.01
+_LEAF_RESTART_S = 2.0  # From the crash of a leaf to its successor.
+# After the route's prefix, in the target of a request that crashes leaves.
+CRASH_PREFIX = "/crash/"
+
+
+def _is_crashing(request: http1.HttpRequest) -> bool:
+    return CRASH_PREFIX.encode() in request.target
 
 
 class _VmProcess(protocol.ProcessProtocol):
@@ -146,20 +155,26 @@
         leaf: Behavior of the leaf.
         service: Service that the leaf belongs to.
         link: Link from the VMs to the leaf.
+        port: Listening port of the link.
         address: Address of the link.
         zone: Availability zone of the leaf.
         leaving_at: Monotonic time at which the store received the draining
             state, or None.
         removed: Whether the entry was removed.
+        crashed_at: Monotonic time at which the leaf crashed, or None.
+        crashed_under: Target of the request that crashed it, if one did.
     """
 
     leaf: opaque_leaf.OpaqueLeaf
     service: str
     link: link_proxy.FaultProxy
+    port: Any
     address: str
     zone: str
     leaving_at: float | None = None
     removed: bool = False
+    crashed_at: float | None = None
+    crashed_under: str = ""
 
 
 class TierEnvironment:
@@ -288,7 +303,8 @@
 
     def _write_live_entries(self) -> None:
         for leaf_instance in self.leaf_by_id.values():
-            if not leaf_instance.removed:
+            crashed = leaf_instance.crashed_at is not None
+            if not leaf_instance.removed and not crashed:
                 self._write_entry(leaf_instance)
 
     def _delete_removed_entries(self) -> None:
@@ -315,17 +331,67 @@
             target=(host, self._base_port),
             fault_by_source=self._leaf_fault_by_vm_host,
         )
-        reactor.listenTCP(self._base_port, link, interface=link_host)
+        port = reactor.listenTCP(self._base_port, link, interface=link_host)
         new_instance = LeafInstance(
             leaf=leaf,
             service=service,
             link=link,
+            port=port,
             address=f"{link_host}:{self._base_port}",
             zone=f"z{self._leaf_count % 3}",
         )
+        leaf.crashes_under = _is_crashing
+        leaf.on_crash = lambda request: self.crash_leaf(
+            new_instance, under=request.target.decode()
+        )
         self.leaf_by_id[leaf_id] = new_instance
         self._write_entry(new_instance)
 
+    def crash_leaf(self, crashed: LeafInstance, *, under: str = "") -> None:
+        """End a leaf's process; its successor starts some seconds later.
+
+        Args:
+            crashed: The leaf.
+            under: Target of the request that crashed it, if one did.
+        """
+        if crashed.crashed_at is not None:
+            return
+        crashed.crashed_at = self._clock.monotonic()
+        crashed.crashed_under = under
+        crashed.leaf.ended = True
+        crashed.port.stopListening()
+        for connection in list(crashed.link.connections):
+            connection.transport.loseConnection()
+        reactor.callLater(_EXPIRY_S, self._remove_leaf, crashed)
+        if crashed.leaving_at is None:
+            reactor.callLater(_LEAF_RESTART_S, self.add_leaf, crashed.service)
+
+    def crash_record(
+        self, target: str, is_judged: Callable[[float], bool]
+    ) -> leaf_rules.CrashRecord:
+        """Return what the leaves saw of a request that crashes them.
+
+        Args:
+            target: Target of the request.
+            is_judged: Returns whether what was sent at a time counts.
+        """
+        instances = self.leaf_by_id.values()
+        return leaf_rules.CrashRecord(
+            crashes=[
+                each.crashed_at
+                for each in instances
+                if each.crashed_at is not None and each.crashed_under == target
+            ],
+            arrivals=[
+                at
+                for each in instances
+                for at, request in zip(
+                    each.leaf.request_times, each.leaf.requests, strict=True
+                )
+                if request.target == target.encode() and is_judged(at)
+            ],
+        )
+
     def cut_from_leaves(self, vm: Vm, fault: link_proxy.LinkFault) -> None:
         """Put a fault on all links of a VM to leaves, or end it with NONE.
 
@@ -358,6 +424,7 @@
             for leaf_id, leaf_instance in self.leaf_by_id.items():
                 if (
                     not leaf_instance.removed
+                    and leaf_instance.crashed_at is None
                     and published_protocol.LEAF_PREFIX + leaf_id not in stored
                 ):
                     self._write_entry(leaf_instance)
@@ -386,5 +453,7 @@
         return [
             leaf_instance
             for leaf_instance in self.leaf_by_id.values()
-            if leaf_instance.leaving_at is None and not leaf_instance.removed
+            if leaf_instance.leaving_at is None
+            and leaf_instance.crashed_at is None
+            and not leaf_instance.removed
         ]
