A test of shared evidence without the store had too few leaves

Cause: with three leaves that are not replaced while the store is away, a request could end no more than three of them, so that the test passed with the exchange between VMs switched off.

--- a/trefoilpier/tier/tests/test_crashing_requests.py
+++ b/trefoilpier/tier/tests/test_crashing_requests.py
@@ -118,8 +118,12 @@
 def test_evidence_of_a_vm_cut_from_the_store_is_lost(tmp_path):
     fleet = make_fleet(tmp_path, large=4)
     target = memory_fleet.crashing_target(b"/w")
+    # Leaves that crash are not replaced while the store is away.
+    for replica in range(3, 15):
+        fleet.add_leaf(0, replica)
+    fleet.clock.advance(2.0)
     fleet.model.faults.down = True
-    run_beside(fleet, target, method=b"POST", seconds=12.0)
+    run_beside(fleet, target, method=b"POST", seconds=16.0)
     # Without the store the VMs tell each other.
     assert len(fleet.crash_record(target).crashes) <= 6
     fleet.model.faults.down = False
