Encoding of records is a module of its own

Change: a pure move of the encoding to quarantine/codec.py. Result: tests of the package pass unchanged.

--- a/trefoilpier/quarantine/__init__.py
+++ b/trefoilpier/quarantine/__init__.py
@@ -5,6 +5,12 @@
 request clears it. Evidence is shared by all VMs and outlives their processes.
 """
 
+from trefoilpier.quarantine.codec import (
+    decode_records,
+    encode_records,
+    parse_document,
+    to_document,
+)
 from trefoilpier.quarantine.evidence import (
     LeafEnd,
     RequestRecord,
@@ -15,14 +21,7 @@
 )
 from trefoilpier.quarantine.gate import Admission, QuarantineGate
 from trefoilpier.quarantine.identity import identify
-from trefoilpier.quarantine.ledger import (
-    RECORDS_MAX,
-    QuarantineLedger,
-    decode_records,
-    encode_records,
-    parse_document,
-    to_document,
-)
+from trefoilpier.quarantine.ledger import RECORDS_MAX, QuarantineLedger
 from trefoilpier.quarantine.recorder import LeafEndRecorder
 
 __all__ = [
