--- a/soak/faults.py
+++ b/soak/faults.py
@@ -309,7 +309,8 @@
     def _crash_leaves(self, seconds: float) -> str:
         live = self._environment.live_leaves
         share = self._rng.choice(_CRASH_SHARES)
-        crashed = self._rng.sample(live, max(1, round(share * len(live))))
+        count = min(len(live), max(1, round(share * len(live))))
+        crashed = self._rng.sample(live, count)
         for leaf_instance in crashed:
             self._environment.crash_leaf(leaf_instance)
         return f"{len(crashed)} leaves crash"
