--- a/trefoilpier/tier/tests/test_cut_from_leaves.py
+++ b/trefoilpier/tier/tests/test_cut_from_leaves.py
@@ -81,7 +81,7 @@
     assert served_share(answers, fleet.vms) >= 0.99
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 26")
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 22")
 def test_small_vms_refuse_while_only_the_gatherers_are_cut_off(tmp_path):
     fleet = make_fleet(tmp_path, large=3, small=5)
     cut(fleet.vms[:3], memory_fleet.LeafCut.SILENT)
