A lost answer of a leaf that runs on makes no request suspect

Cause: any disconnected call made its request suspect, and a suspect request got no second send at any shard.

Change: the loss of a call has a cause. The leaf runs on if other connections to it outlive the lost one, if it accepts a new one (tried at once, where none is left) or answers; it has ended if it refuses one or its entry is replaced. A request is suspect only while no leaf has answered it and a loss is not known to be harmless; at one shard, also while its own loss is undecided. Early suspicions need leaves that have ended, not connections that were lost.

--- a/trefoilpier/forward/environment.py
+++ b/trefoilpier/forward/environment.py
@@ -79,8 +79,15 @@
         self,
         context: request_context.RequestContext,
         leaf: replicas.LeafEntry,
+        loss: replicas.CallLoss,
     ) -> None:
-        """Record a call of a request that was lost by disconnection."""
+        """Record a call of a request that was lost by disconnection.
+
+        Args:
+            context: The request.
+            leaf: Entry of the leaf.
+            loss: The loss and its cause, once that is known.
+        """
         if self.gate is None or self.gate.cases is None:
             return
         if context.identity is None or context.route.gather is None:
@@ -91,6 +98,7 @@
                 identity=context.identity,
                 service=leaf.service,
                 leaf=leaf.id,
+                call_loss=loss,
                 services=context.route.gather.services,
                 one_first=context.one_first,
                 answered=context.answered_count,
--- a/trefoilpier/forward/request_context.py
+++ b/trefoilpier/forward/request_context.py
@@ -1,6 +1,6 @@
 """State that all calls of one request share."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from trefoilpier import accounts, http1, replicas, routes
 from trefoilpier.forward import admission
@@ -28,6 +28,7 @@
         canary: Whether the only reason is that nothing is known about it.
         on_trial: Whether it is the one trial after a bar.
         lost_count: Calls whose leaf closed the connection.
+        losses: These calls, and why they were lost.
         answered_count: Calls that a leaf ran and answered.
         shard_states: State of each shard's service when a gathered request was
             admitted; empty if it was not estimated.
@@ -48,6 +49,7 @@
     canary: bool = False
     on_trial: bool = False
     lost_count: int = 0
+    losses: list[replicas.CallLoss] = field(default_factory=list)
     answered_count: int = 0
     shard_states: tuple[admission.ServiceState, ...] = ()
     account: accounts.Account | None = None
@@ -61,6 +63,31 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def may_crash_leaves(self) -> bool:
+        """Whether it is sent to one leaf at a time.
+
+        One answer shows that a leaf survives the request, and so does a leaf
+        that has lost no more than the connection.
+        """
+        if self.suspect or self.answered_count:
+            return self.suspect
+        return any(not loss.harmless for loss in self.losses)
+
+    def may_crash_leaves_of(self, service: str) -> bool:
+        """Return whether a late call to a service gets no second send.
+
+        A leaf that has ended shows little about those of other shards that
+        answer.
+
+        Args:
+            service: Service of the leaves.
+        """
+        return self.may_crash_leaves or any(
+            loss.service == service and not loss.harmless
+            for loss in self.losses
+        )
+
     @property
     def seems_to_crash_leaves(self) -> bool:
         """Whether many of its leaves were lost and none has answered."""
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -231,7 +231,7 @@
             encode_request=encode_request,
             on_end=self._handle_call_end,
             identity=context.identity,
-            suspect=context.suspect,
+            suspect=context.may_crash_leaves,
         )
         self._call_by_leaf[leaf_id] = (pool, call)
         if not self._hedge_scheduled and self._may_hedge():
@@ -249,7 +249,9 @@
         """Send the request to another leaf while the first is late."""
         if self._done:
             return
-        if self._context.suspect or self._env.is_held_back(self._context):
+        if self._context.may_crash_leaves_of(
+            self._service
+        ) or self._env.is_held_back(self._context):
             self.hedge_outcome = hedging.HedgeOutcome.SUSPECT
             return
         useless = self._useless_leaf_ids()
@@ -350,9 +352,10 @@
             pool.stats.record_failure(now)
             if result.disconnected:
                 self._context.lost_count += 1
-                self._context.suspect = True
+            if call.loss is not None:
+                self._context.losses.append(call.loss)
                 if call.sent_in_contact and not pool.leaving:
-                    self._env.record_lost(self._context, pool.entry)
+                    self._env.record_lost(self._context, pool.entry, call.loss)
             self._env.log_lost_call(self._context, pool.entry.id, result.reason)
             self.ran = base.Ran.UNKNOWN
             self._reason = result.reason
--- a/trefoilpier/forward/tests/test_gathering.py
+++ b/trefoilpier/forward/tests/test_gathering.py
@@ -188,3 +188,26 @@
     earlier_s = tier.answers["q2"].took_s - tier.answers["q3"].took_s
     assert missing(tier.answers["q3"]) == 1
     assert 0.8 * link_s < earlier_s < 1.2 * link_s
+
+
+def test_lost_answer_of_one_shard_withholds_the_hedges_of_others():
+    # Half of the leaves reset answers in the worst seconds of trouble-1 of the
+    # shifted deployment, and 234 of 410 missing shards had their second send
+    # withheld because another shard of the request had lost an answer.
+    tier = make()
+    for k in range(60):
+        tier.send_request(f"warm{k}")
+        tier.clock.advance(0.05)
+    for k in range(3):
+        tier.leaf_by_id[f"s1.{k}"].faults.lose_share = 1.0
+    for k in range(3):
+        paused = [tier.leaf_by_id[f"s{shard}.{k}"] for shard in range(2, 10)]
+        for leaf in paused:
+            leaf.faults.paused = True
+        tier.send_request(f"q{k}")
+        tier.clock.advance(0.5)
+        for leaf in paused:
+            leaf.resume()
+        answer = tier.answers[f"q{k}"]
+        assert answer.status == 200
+        assert missing(answer) == 1
--- a/trefoilpier/quarantine/cases.py
+++ b/trefoilpier/quarantine/cases.py
@@ -23,6 +23,7 @@
         identity: Identity of the request.
         service: Service of the leaf.
         leaf: Id of the leaf.
+        call_loss: The lost call, and why it was lost once that is known.
         services: Services of all shards of the request.
         one_first: Whether the request was sent to one shard first.
         answered: Calls of the request that were answered.
@@ -32,6 +33,7 @@
     identity: replicas.RequestIdentity
     service: str
     leaf: str
+    call_loss: replicas.CallLoss
     services: tuple[str, ...]
     one_first: bool
     answered: int
@@ -47,9 +49,10 @@
         description: The request in short.
         opened_at: Monotonic time of the first loss.
         services: Services of all its shards.
-        lost_services: Services whose leaves were lost under it.
+        service_by_leaf: Services of the leaves that were lost under it, but for
+            those that are known to run on.
         ended_services: Services whose leaves have ended under it.
-        shards_needed: Shards whose leaves must be lost.
+        shards_needed: Shards whose leaves must have ended.
     """
 
     suspicion: suspicions.Suspicion
@@ -57,9 +60,14 @@
     opened_at: float
     services: tuple[str, ...]
     shards_needed: int
-    lost_services: set[str] = field(default_factory=set)
+    service_by_leaf: dict[str, str] = field(default_factory=dict)
     ended_services: set[str] = field(default_factory=set)
 
+    @property
+    def lost_services(self) -> set[str]:
+        """Services of the lost leaves that may have ended."""
+        return set(self.service_by_leaf.values())
+
 
 class SuspicionCases:
     """Suspicions of this VM, from the first lost call to the decision.
@@ -127,17 +135,36 @@
         case = self._case_by_fingerprint.get(fingerprint)
         if case is None or self._is_over(case, now):
             case = self._open_case(loss)
-        suspicion = case.suspicion
-        case.lost_services.add(loss.service)
-        suspicion.leaves.add(loss.leaf)
-        suspicion.shard_count = len(case.lost_services)
+        case.service_by_leaf[loss.leaf] = loss.service
+        self._count_leaves(case)
         if loss.one_first:
             case.shards_needed = 1
-        if suspicion.stage is not suspicions.Stage.WATCHED:
+        loss.call_loss.on_cause = lambda cause: self._handle_cause(
+            case, loss.leaf, cause
+        )
+        if case.suspicion.stage is suspicions.Stage.WATCHED:
+            self.record_answer(fingerprint, loss.answered)
+
+    def _count_leaves(self, case: _Case) -> None:
+        case.suspicion.leaves = set(case.service_by_leaf)
+        case.suspicion.shard_count = len(case.lost_services)
+
+    def _handle_cause(
+        self, case: _Case, leaf: str, cause: replicas.LossCause
+    ) -> None:
+        """Drop a leaf that runs on, and the case with its last leaf.
+
+        Resets of many connections end no leaf. They would hold back, or send
+        to one shard first, requests that have nothing to do with them.
+        """
+        if cause is not replicas.LossCause.CONNECTION:
             return
-        if len(case.lost_services) >= case.shards_needed:
-            self._suspect(case)
-        self.record_answer(fingerprint, loss.answered)
+        if case.suspicion.stage is not suspicions.Stage.WATCHED:
+            return
+        case.service_by_leaf.pop(leaf, None)
+        self._count_leaves(case)
+        if not case.service_by_leaf:
+            self._clear(case)
 
     def _is_over(self, case: _Case, now: float) -> bool:
         """Return whether a further loss is news, since repeats are sent."""
@@ -271,5 +298,11 @@
     def record_end(self, fingerprint: str, service: str) -> None:
         """Record that a leaf has ended while it was running a request."""
         case = self._case_by_fingerprint.get(fingerprint)
-        if case is not None:
-            case.ended_services.add(service)
+        if case is None:
+            return
+        case.ended_services.add(service)
+        if (
+            case.suspicion.stage is suspicions.Stage.WATCHED
+            and len(case.ended_services) >= case.shards_needed
+        ):
+            self._suspect(case)
--- a/trefoilpier/replicas/__init__.py
+++ b/trefoilpier/replicas/__init__.py
@@ -9,8 +9,10 @@
 )
 from trefoilpier.replicas.choice import LeafChooser
 from trefoilpier.replicas.ends import (
+    CallLoss,
     LeafEndDetector,
     LeafEndObserver,
+    LossCause,
     NullLeafEndObserver,
     RunningCall,
 )
@@ -24,6 +26,7 @@
 
 __all__ = [
     "CallEnd",
+    "CallLoss",
     "CallResult",
     "ColdBounds",
     "ColdService",
@@ -39,6 +42,7 @@
     "LeafRegistry",
     "LeafStats",
     "LeafSurvey",
+    "LossCause",
     "NullLeafEndObserver",
     "RequestIdentity",
     "ReusePolicy",
--- a/trefoilpier/replicas/call.py
+++ b/trefoilpier/replicas/call.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from trefoilpier import http1
+from trefoilpier.replicas import ends
 
 _REUSE_IDLE_S = 4.0  # Used when the leaf states no idle timeout.
 # Leaves may close an idle connection without notice.
@@ -72,6 +73,7 @@
         suspect: Whether the request may crash the leaf.
         sent_in_contact: Whether nothing had failed toward the leaf since its
             last answer when the call was sent.
+        loss: Why the call was lost, if its connection was.
     """
 
     __slots__ = (
@@ -79,6 +81,7 @@
         "done",
         "encode_request",
         "identity",
+        "loss",
         "median_latency_s",
         "method",
         "on_end",
@@ -127,5 +130,6 @@
         self.connection: http1.ClientConnection | None = None
         self.sent_at = 0.0
         self.sent_in_contact = False
+        self.loss: ends.CallLoss | None = None
         self.started_at = 0.0
         self.done = False
--- a/trefoilpier/replicas/ends.py
+++ b/trefoilpier/replicas/ends.py
@@ -2,10 +2,13 @@
 
 A lost connection alone does not tell: it may have been reset while the leaf
 runs on. The leaf has ended if it refuses the next connection, or if its entry
-is removed or replaced soon after. It has not if it answers another request.
+is removed or replaced soon after. It runs on if other connections to it stay
+open, if it accepts another one, or if it answers another request.
 """
 
 import abc
+import enum
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -39,6 +42,68 @@
     ended_at: float
 
 
+class LossCause(enum.Enum):
+    """What is known of the reason why a call was lost.
+
+    UNKNOWN is being found out. CONNECTION lost no more than the connection: the
+    leaf runs on. LEAF_ENDED lost the leaf.
+    """
+
+    UNKNOWN = enum.auto()
+    CONNECTION = enum.auto()
+    LEAF_ENDED = enum.auto()
+
+
+class CallLoss:
+    """A call that was lost by disconnection, and why.
+
+    Attributes:
+        cause: What is known of the reason.
+        service: Service of the leaf.
+        on_cause: Called with each new cause.
+
+    >>> loss = CallLoss(service="s")
+    >>> loss.set_cause(LossCause.CONNECTION)
+    >>> loss.harmless
+    True
+    """
+
+    __slots__ = ("cause", "on_cause", "service")
+
+    def __init__(self, *, service: str) -> None:
+        """Start with an unknown cause."""
+        self.service = service
+        self.cause = LossCause.UNKNOWN
+        self.on_cause: Callable[[LossCause], None] = lambda cause: None
+
+    @property
+    def harmless(self) -> bool:
+        """Whether the leaf is known to have outlived the call."""
+        return self.cause is LossCause.CONNECTION
+
+    def set_cause(self, cause: LossCause) -> None:
+        """Set the cause; the end of a leaf is final."""
+        if cause is self.cause or self.cause is LossCause.LEAF_ENDED:
+            return
+        self.cause = cause
+        self.on_cause(cause)
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Lost:
+    """A lost call of which the reason is not known yet.
+
+    Attributes:
+        loss: The loss, as the request sees it.
+        lost_at: Monotonic time at which its connection was lost.
+        running: The call as evidence; None if it may not have arrived.
+    """
+
+    loss: CallLoss
+    lost_at: float
+    running: RunningCall | None
+
+
 class LeafEndObserver(abc.ABC):
     """Receives which calls were running when leaves ended."""
 
@@ -98,7 +163,7 @@
         """
         self._pool = pool
         self._observer = observer
-        self._lost: list[RunningCall] = []
+        self._lost: list[_Lost] = []
         self._accepted_since_loss = False
         self._cancelled: list[RunningCall] = []
         # Monotonic time of the last report; None while the leaf runs.
@@ -115,12 +180,23 @@
         A leaf that is known to leave may end at any time. If calls before this
         one have failed and none was answered since, it may not have arrived.
         """
+        call.loss = CallLoss(service=self._pool.entry.service)
         if call.identity is None or self._pool.leaving:
+            call.loss.set_cause(LossCause.CONNECTION)
             return
-        if not call.sent_in_contact:
-            return
-        self._lost.append(_running(call, call.identity, now))
-        self._accepted_since_loss = False
+        running = None
+        if call.sent_in_contact:
+            running = _running(call, call.identity, now)
+            self._accepted_since_loss = False
+        self._lost.append(_Lost(loss=call.loss, lost_at=now, running=running))
+
+    def record_others_open(self) -> None:
+        """Record that other connections have outlived the lost ones."""
+        self._set_cause(LossCause.CONNECTION)
+
+    def _set_cause(self, cause: LossCause) -> None:
+        for each in self._lost:
+            each.loss.set_cause(cause)
 
     def record_cancelled(self, call: "calls.LeafCall", now: float) -> None:
         """Record a call that was cancelled while it was in flight."""
@@ -135,6 +211,7 @@
     def record_accepted(self) -> None:
         """Record that the leaf's address accepted a connection."""
         self._accepted_since_loss = True
+        self._set_cause(LossCause.CONNECTION)
 
     def record_removed(
         self, reason: str, now: float, *, replaced: bool
@@ -156,18 +233,22 @@
             sent_at: Monotonic time at which the request was sent.
         """
         if self._lost:
-            self._lost = [
-                each for each in self._lost if each.ended_at > sent_at
-            ]
+            lost, self._lost = self._lost, []
+            for each in lost:
+                if each.lost_at > sent_at:
+                    self._lost.append(each)
+                else:
+                    each.loss.set_cause(LossCause.CONNECTION)
         if self._reported_at is not None and sent_at > self._reported_at:
             self._reported_at = None
             self._observer.handle_alive(self._pool)
 
     def _report(self, evidence: str, now: float, *, within_s: float) -> None:
-        running = [
-            each for each in self._lost if now - each.ended_at < within_s
-        ]
+        recent = [each for each in self._lost if now - each.lost_at < within_s]
         self._lost = []
+        for each in recent:
+            each.loss.set_cause(LossCause.LEAF_ENDED)
+        running = [each.running for each in recent if each.running is not None]
         if not running:
             return
         ended_at = min(each.ended_at for each in running)
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -28,8 +28,9 @@
 _ANSWER_VALID_S = 1.0
 # The end of a call in flight reports capacity before a longer wait.
 _LIMIT_WAIT_MAX_S = 2.0
-# All connections of a leaf that has ended are lost within this time.
-_LOSS_CHECK_PAUSE_S = 0.02
+# All connections of a leaf that has ended are lost within the first time. The
+# second check is for those that are lost late.
+_LOSS_CHECK_PAUSES_S = (0.002, 0.02)
 
 
 class _LeafFactory(protocol.ClientFactory):
@@ -462,15 +463,21 @@
             return
         self.end_detector.record_lost(call, self._clock.monotonic())
         if self.end_detector.undecided:
-            self._clock.call_later(_LOSS_CHECK_PAUSE_S, self._check_ended)
+            self._clock.call_later(0.0, self._connect_if_none)
+            for pause_s in _LOSS_CHECK_PAUSES_S:
+                self._clock.call_later(pause_s, self._check_ended)
 
     def _check_ended(self) -> None:
+        """Find out from the other connections whether the leaf runs on."""
+        if self._connections and self.end_detector.undecided:
+            self.end_detector.record_others_open()
+        self._connect_if_none()
+
+    def _connect_if_none(self) -> None:
         """Connect to a leaf of which all connections were lost."""
-        if self.leaving or self.evacuated:
-            return
-        if self._connections or self._opening_count:
+        if self.leaving or self.evacuated or not self.end_detector.undecided:
             return
-        if self.end_detector.undecided:
+        if not self._connections and not self._opening_count:
             self._connect()
 
     def _remove_call(self, call: calls.LeafCall) -> None:
