Items of the store are decoded in a module of their own

The position in the store, the interface of followers and the decoding of items move to modules of their own; no behaviour changes.

--- a/trefoilpier/tier/evacuation_sync.py
+++ b/trefoilpier/tier/evacuation_sync.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from trefoilpier import base, platform, store
-from trefoilpier.tier import store_sync
+from trefoilpier.tier import store_items
 
 # A restored store may lack an evacuation. Operators write again what the copy
 # lacks; until then, sending to leaves that may be down or harmful is worse than
@@ -19,7 +19,7 @@
 _KEPT_REVISION = 0
 
 
-class EvacuationSync(store_sync.ItemFollower):
+class EvacuationSync(store_items.ItemFollower):
     """Set of evacuated zones, each with the revision of its key.
 
     Attributes:
@@ -44,7 +44,7 @@
         *,
         clock: base.Clock,
         log: base.EventLog,
-        get_position: Callable[[], store_sync.StorePosition],
+        get_position: Callable[[], store_items.StorePosition],
         on_change: Callable[[frozenset[str]], None],
     ) -> None:
         """Create it without evacuated zones.
@@ -63,7 +63,7 @@
         self._malformed_keys: set[str] = set()
         self._keep_until = 0.0
         # Up to where peers' reports have told all about evacuations.
-        self._merged = store_sync.StorePosition()
+        self._merged = store_items.StorePosition()
         # States tell of evacuations only once there has been one.
         self._reports = False
         self.generation = 0
@@ -175,7 +175,7 @@
         known_here = self._known_revision() if same_era else 0
         known_there = report["revision"] if same_era else 0
         if same_era:
-            self._merged = store_sync.StorePosition(
+            self._merged = store_items.StorePosition(
                 era=position.era, revision=max(known_here, known_there)
             )
         zones = {
--- a/trefoilpier/tier/quarantine_sync.py
+++ b/trefoilpier/tier/quarantine_sync.py
@@ -11,7 +11,7 @@
 from twisted.internet import defer
 
 from trefoilpier import base, quarantine, store
-from trefoilpier.tier import store_sync
+from trefoilpier.tier import store_items
 
 KEY_PREFIX = "tier/quarantine/"
 # Most requests that were running on a leaf that ended are answered by another
@@ -22,7 +22,7 @@
 _SWEEP_PAUSE_S = 60.0
 
 
-class QuarantineSync(store_sync.ItemFollower):
+class QuarantineSync(store_items.ItemFollower):
     """Copies the ledger of a VM to the store, and those of others from it.
 
     Attributes:
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -1,13 +1,12 @@
 """Synchronization of routes, leaves and VM records from the store."""
 
-import abc
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from twisted.internet import defer
 
 from trefoilpier import base, fleet, platform, replicas, routes, store
+from trefoilpier.tier import item_decoder, store_items
 
 # A watch reports no changes if the store lost the request, or received it while
 # discarding its history. The timeout of such a watch and of its response must
@@ -26,60 +25,6 @@
 _RETRY_PAUSE_UNLOADED_MAX_S = 0.25
 # After the registry trusts the entries of a restored store again.
 _REAPPLY_MARGIN_S = 0.05
-_MALFORMED_KEYS_MAX = 200  # Limit on remembered malformed leaf entries.
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StorePosition:
-    """Up to where a VM knows the store.
-
-    Attributes:
-        era: Era of the store; None if unknown.
-        revision: Revision in that era up to which all changes are known.
-    """
-
-    era: int | None = None
-    revision: int = 0
-
-    def is_later_era_than(self, era: int | None) -> bool:
-        """Return whether it is of a later era than the given one.
-
-        >>> StorePosition(era=3).is_later_era_than(2)
-        True
-        >>> StorePosition(era=3).is_later_era_than(None)
-        False
-        """
-        return self.era is not None and era is not None and era < self.era
-
-
-class ItemFollower(abc.ABC):
-    """Follows the items below one prefix."""
-
-    __slots__ = ()
-
-    @abc.abstractmethod
-    def replace_all(
-        self, items: list[store.Item], *, from_peer: bool, revision: int | None
-    ) -> None:
-        """Apply a complete list of the items.
-
-        Args:
-            items: The items.
-            from_peer: Whether the list is another VM's copy.
-            revision: Revision of the store up to which the list is complete;
-                None if it may be out of date.
-        """
-
-    @abc.abstractmethod
-    def put(self, item: store.Item) -> None:
-        """Apply a new or changed item."""
-
-    @abc.abstractmethod
-    def remove(self, key: str) -> None:
-        """Apply the removal of an item."""
-
-    def handle_store_restore(self) -> None:  # noqa: B027
-        """Handle a restore of the store, before its items are applied."""
 
 
 class StoreSync:
@@ -97,13 +42,13 @@
     __slots__ = (
         "_short_watches_until",
         "_clock",
+        "_decoder",
         "_directory",
         "_failed_since_load",
         "_follower_by_prefix",
         "_items_by_key",
         "_log",
         "_outage_reported",
-        "_malformed_revision_by_key",
         "_on_confirmed",
         "_on_members",
         "_on_routes",
@@ -135,7 +80,7 @@
         directory: fleet.VmDirectory,
         on_routes: Callable[[routes.RouteTable], None],
         on_members: Callable[[], None],
-        follower_by_prefix: dict[str, ItemFollower] | None = None,
+        follower_by_prefix: dict[str, store_items.ItemFollower] | None = None,
         on_confirmed: Callable[[float], None] = lambda at: None,
         watch_timeout_s: float = WATCH_TIMEOUT_S,
     ) -> None:
@@ -169,7 +114,7 @@
         self._on_routes = on_routes
         self._table: routes.RouteTable | None = None
         self._table_value: bytes | None = None
-        self._malformed_revision_by_key: dict[str, int] = {}
+        self._decoder = item_decoder.ItemDecoder(log=log)
         self._started = False
         self._items_by_key: dict[str, store.Item] = {}
         self.era: int | None = None
@@ -263,7 +208,7 @@
             return
         for item in self._items_by_key.values():
             if item.key.startswith(platform.LEAF_PREFIX):
-                for entry in self._decode_leaf(item):
+                for entry in self._decoder.decode_leaf(item):
                     self._registry.put(entry)
         self._on_members()
 
@@ -275,9 +220,9 @@
             if item.key == platform.ROUTES_KEY:
                 self._apply_routes(item)
             elif item.key.startswith(platform.LEAF_PREFIX):
-                leaves += self._decode_leaf(item)
+                leaves += self._decoder.decode_leaf(item)
             elif item.key.startswith(fleet.VM_KEY_PREFIX):
-                vms += self._decode_vm(item)
+                vms += self._decoder.decode_vm(item)
         if vms or not from_peer:
             self._directory.replace_all(vms)
         for prefix, follower in self._follower_by_prefix.items():
@@ -335,9 +280,9 @@
         return self.position.is_later_era_than(era)
 
     @property
-    def position(self) -> StorePosition:
+    def position(self) -> store_items.StorePosition:
         """Up to where this VM knows the store."""
-        return StorePosition(era=self.era, revision=self.revision)
+        return store_items.StorePosition(era=self.era, revision=self.revision)
 
     @property
     def current(self) -> bool:
@@ -415,7 +360,7 @@
             if change.item is None:
                 removed_leaf_ids.append(leaf_id)
             else:
-                entries = self._decode_leaf(change.item)
+                entries = self._decoder.decode_leaf(change.item)
                 for entry in entries:
                     self._registry.put(entry)
                 if not entries:
@@ -465,36 +410,9 @@
             vm_id = change.key.removeprefix(fleet.VM_KEY_PREFIX)
             self._directory.remove_vm(vm_id)
         else:
-            for record in self._decode_vm(change.item):
+            for record in self._decoder.decode_vm(change.item):
                 self._directory.put(record)
 
-    def _decode_vm(self, item: store.Item) -> list[fleet.VmRecord]:
-        decoded = fleet.decode_vm_record(item.value)
-        if decoded.is_ok():
-            return [decoded.ok]
-        self._log.emit(
-            base.Event.ENTRY_MALFORMED, key=item.key, problem=decoded.error
-        )
-        return []
-
-    def _decode_leaf(self, item: store.Item) -> list[replicas.LeafEntry]:
-        decoded = platform.decode_leaf(
-            item.key, item.value, revision=item.revision
-        )
-        if decoded.is_ok():
-            return [decoded.ok]
-        if item.key not in self._malformed_revision_by_key:
-            if len(self._malformed_revision_by_key) >= _MALFORMED_KEYS_MAX:
-                self._malformed_revision_by_key.clear()
-            self._malformed_revision_by_key[item.key] = item.revision
-            self._log.emit(
-                base.Event.ENTRY_MALFORMED,
-                key=item.key,
-                revision=item.revision,
-                problem=decoded.error,
-            )
-        return []
-
     def _on_call_succeeded(self) -> None:
         self._pause_s = _RETRY_PAUSE_MIN_S
         if self.last_call_failed:
--- a/trefoilpier/tier/tests/test_evacuation_sync.py
+++ b/trefoilpier/tier/tests/test_evacuation_sync.py
@@ -7,7 +7,7 @@
 from standins import memory_tier
 from trefoilpier import base, fleet, http1, platform, store
 from trefoilpier.fleet import state_handler
-from trefoilpier.tier import evacuation_sync, store_sync
+from trefoilpier.tier import evacuation_sync, store_items
 
 
 class Harness:
@@ -16,7 +16,7 @@
     def __init__(self):
         self.clock = base.VirtualClock(start=100.0)
         self.log = memory_tier.RecordingLog()
-        self.position = store_sync.StorePosition(era=1, revision=50)
+        self.position = store_items.StorePosition(era=1, revision=50)
         self.changes = []
         self.sync = evacuation_sync.EvacuationSync(
             clock=self.clock,
@@ -105,7 +105,7 @@
 def test_evacuation_that_a_restored_store_lacks_ends_at_once_or_never(harness):
     harness.replace(item("z1"), item("z2"), item("z3"))
     harness.sync.handle_store_restore()
-    harness.position = store_sync.StorePosition(era=2, revision=30)
+    harness.position = store_items.StorePosition(era=2, revision=30)
     assert harness.replace(item("z3", 20)) == ["z1", "z2", "z3"]
     # Nobody else takes a zone that is only kept for an evacuated one.
     assert harness.sync.report()["zones"] == {"z1": 0, "z2": 0, "z3": 20}
