A VM that the store refuses at its start asks seeds for gatherers

A VM without a usable gatherer asks the seeds if the store fails or has not answered within 0.1 s. The polling of one gatherer moves to fleet/state_poller.

The test of such a start fails before in all four cases.

--- a/trefoilpier/fleet/gatherers.py
+++ b/trefoilpier/fleet/gatherers.py
@@ -7,18 +7,20 @@
 from twisted.internet import defer
 
 from trefoilpier import base, http1, replicas, store
-from trefoilpier.fleet import directory, recent_values, state_handler
+from trefoilpier.fleet import (
+    directory,
+    recent_values,
+    seeds,
+    state_handler,
+    state_poller,
+)
 
-# A gatherer without a change responds after LONG_POLL_S. If no response arrives
-# by this timeout, the VM is frozen, unreachable or dead, and the requests sent
-# to it are lost.
-_POLL_TIMEOUT_S = state_handler.LONG_POLL_S + 0.6
-_RETRY_PAUSE_S = 0.3  # Between two polls of an unavailable gatherer.
 # Initial pause between reads of the store while no gatherer is usable.
 _DISCOVERY_PAUSE_S = 0.25
 # Upper limit of that pause, and the pause while a gatherer is usable.
 _DISCOVERY_PAUSE_MAX_S = 3.0
-_STATUS_NO_CONTENT = 204
+# The store's answer is waited for this long before other VMs are asked.
+_STORE_WAIT_S = 0.1
 # A gatherer that went down is ranked last for this time.
 _DOWN_PENALTY_S = 3.0
 # What a gatherer that is no longer polled has reported counts for this time.
@@ -26,114 +28,7 @@
 _POLLED_GATHERERS_MAX = 2  # Gatherers that one VM polls.
 
 
-class _StatePoller:
-    """Long polling of the state of one gatherer."""
-
-    __slots__ = (
-        "_client",
-        "_known_suspicions",
-        "_known_reports",
-        "_known_tag",
-        "_tracked",
-        "_watch",
-        "active",
-        "lost_count",
-        "record",
-        "up",
-        "version",
-        "vms",
-    )
-
-    def __init__(
-        self, *, watch: "GathererWatch", record: directory.VmRecord
-    ) -> None:
-        self._watch = watch
-        self._client = watch.make_client(record)
-        self._known_tag = ""
-        self._known_suspicions = 0
-        self._known_reports = 0
-        self.record = record
-        self._tracked = False
-        self.active = True
-        self.up = False
-        self.lost_count = 0
-        self.version = 0
-        # The gatherers that this one has reported.
-        self.vms: list[directory.VmRecord] = []
-
-    async def run(self) -> None:
-        while self.active:
-            target = b"%b?known=%b&%b=1" % (
-                state_handler.STATE_PATH,
-                self._known_tag_for_poll().encode(),
-                state_handler.OMIT_KNOWN_PARAMETER.encode(),
-            )
-            if self._watch.reads_reports:
-                target += b"&%b=%d" % (
-                    state_handler.REPORTS_PARAMETER.encode(),
-                    self._known_reports,
-                )
-            sent_at = self._watch.now()
-            if self._watch.reads_suspicions:
-                target += b"&%b=%d" % (
-                    state_handler.SUSPICIONS_PARAMETER.encode(),
-                    self._known_suspicions,
-                )
-            outcome = await self._client.send_request(
-                b"GET", target, timeout_s=_POLL_TIMEOUT_S
-            )
-            if not self.active:
-                return
-            if _is_unchanged(outcome) and self.up:
-                self._watch.handle_confirmation(self, outcome, sent_at)
-                continue
-            state = _decode_outcome(outcome)
-            if state is None or state.leaving:
-                leaving = state is not None
-                self._watch.handle_down(self, leaving=leaving)
-                self._known_tag = ""
-                self._known_suspicions = 0
-                self._known_reports = 0
-                await self._watch.sleep(_RETRY_PAUSE_S)
-                continue
-            self._known_tag = state.tag(include_leaves=True)
-            if state.leaf_reports is not None:
-                self._known_reports = state.leaf_reports["generation"]
-            self.version = state.version
-            self._known_suspicions = state.suspicion_generation
-            self._watch.handle_state(self, state)
-            self._watch.handle_confirmation(self, outcome, sent_at)
-
-    def _known_tag_for_poll(self) -> str:
-        """Return the known tag, without the leaves if they do not matter.
-
-        Once they begin to matter, the state is asked for at once.
-        """
-        tracked, self._tracked = self._tracked, self._watch.tracks_leaves()
-        if not self._tracked:
-            return state_handler.tag_without_leaves(self._known_tag)
-        return self._known_tag if tracked else ""
-
-
-def _is_unchanged(
-    outcome: http1.ResponseReceived | http1.RequestFailed,
-) -> bool:
-    return (
-        isinstance(outcome, http1.ResponseReceived)
-        and outcome.response.status == _STATUS_NO_CONTENT
-    )
-
-
-def _decode_outcome(
-    outcome: http1.ResponseReceived | http1.RequestFailed,
-) -> state_handler.GathererState | None:
-    if isinstance(outcome, http1.RequestFailed):
-        return None
-    decoded = state_handler.decode_state(outcome.response.body)
-    return decoded.ok if decoded.is_ok() else None
-
-
-class GathererWatch:
+class GathererWatch(state_poller.PollObserver):
     """Discovery of gatherers and polling of the preferred ones.
 
     A relaying VM prefers gatherers in its own availability zone and sends its
@@ -144,6 +39,7 @@
     have lost the fewest.
 
     Attributes:
+        read_failed: Whether the last read of the list of gatherers failed.
         on_confirmed: Called with the version of a gatherer's routes and a
             monotonic time at which its accounts were known to be current.
         reads_suspicions: Whether new suspicions of requests end a long poll.
@@ -166,10 +62,12 @@
         "_reactor",
         "_registry",
         "_rng",
+        "_seeds",
         "_store",
         "_zone",
         "directory",
         "on_confirmed",
+        "read_failed",
         "reads_suspicions",
         "reads_reports",
         "tracks_leaves",
@@ -192,6 +90,7 @@
             [directory.VmRecord, state_handler.GathererState], None
         ],
         reads_suspicions: bool = False,
+        seed_client: seeds.SeedClient | None = None,
     ) -> None:
         """Initialize the watch; `start` begins discovery.
 
@@ -210,8 +109,12 @@
                 matters now.
             on_state: Called with each state received from a gatherer.
             reads_suspicions: Whether suspicions of requests matter.
+            seed_client: Asks other VMs for gatherers while the store does not
+                answer; None for none.
         """
         self.reads_suspicions = reads_suspicions
+        self.read_failed = False
+        self._seeds = seed_client
         self._clock = clock
         self._log = log
         self._rng = rng
@@ -222,7 +125,7 @@
         self._zone = zone
         self.tracks_leaves = tracks_leaves
         self._on_state = on_state
-        self._poller_by_id: dict[str, _StatePoller] = {}
+        self._poller_by_id: dict[str, state_poller.StatePoller] = {}
         # Names of the gatherers that went down.
         self._down = recent_values.RecentValues[bool](
             clock=clock, lifetime_s=_DOWN_PENALTY_S
@@ -271,14 +174,35 @@
                 retry_pause_s = _DISCOVERY_PAUSE_S
             else:
                 retry_pause_s = min(_DISCOVERY_PAUSE_MAX_S, 1.3 * retry_pause_s)
+                asking = self._clock.call_later(_STORE_WAIT_S, self._ask_seeds)
                 snapshot = await self._store.read_all(
                     directory.VM_KEY_PREFIX, allow_stale=True
                 )
+                asking.cancel()
+                self.read_failed = snapshot.is_error()
                 if snapshot.is_ok():
                     self._apply_items(snapshot.ok.items)
+                else:
+                    self._ask_seeds()
             pause_s = _DISCOVERY_PAUSE_MAX_S if self.usable else retry_pause_s
             await self.sleep(pause_s * self._rng.uniform(0.8, 1.2))
 
+    def _ask_seeds(self) -> None:
+        """Ask other VMs for gatherers while none is usable."""
+        if self._seeds is not None and not self.usable:
+            self._seeds.ask(self._apply_told_records)
+
+    def _apply_told_records(self, records: list[directory.VmRecord]) -> None:
+        """Poll gatherers that a seed knows, unless better ones are known."""
+        if self.usable:
+            return
+        known = {record.id: record for record in records}
+        for record in self.directory.record_by_id.values():
+            told = known.get(record.id)
+            if told is None or told.started_ms < record.started_ms:
+                known[record.id] = record
+        self._apply_records(list(known.values()))
+
     def _apply_items(self, items: list[store.Item]) -> None:
         decoded = [directory.decode_vm_record(item.value) for item in items]
         records = [each.ok for each in decoded if each.is_ok()]
@@ -314,7 +238,7 @@
                 del self._poller_by_id[vm_id]
         for vm_id, record in selected.items():
             if vm_id not in self._poller_by_id:
-                poller = _StatePoller(watch=self, record=record)
+                poller = state_poller.StatePoller(watch=self, record=record)
                 self._poller_by_id[vm_id] = poller
                 defer.ensureDeferred(poller.run())
         self._update_targets()
@@ -377,7 +301,9 @@
         )
 
     def handle_state(
-        self, poller: _StatePoller, state: state_handler.GathererState
+        self,
+        poller: state_poller.StatePoller,
+        state: state_handler.GathererState,
     ) -> None:
         """Process a state received from a gatherer."""
         if state.version > self.version:
@@ -398,7 +324,7 @@
 
     def handle_confirmation(
         self,
-        poller: _StatePoller,
+        poller: state_poller.StatePoller,
         outcome: http1.ResponseReceived | http1.RequestFailed,
         sent_at: float,
     ) -> None:
@@ -428,7 +354,9 @@
                         record_by_id[record.id] = record
         self._apply_records(list(record_by_id.values()))
 
-    def handle_down(self, poller: _StatePoller, *, leaving: bool) -> None:
+    def handle_down(
+        self, poller: state_poller.StatePoller, *, leaving: bool
+    ) -> None:
         """Process a poll failure or the shutdown of a gatherer.
 
         Requests in flight to an unresponsive gatherer fail at once. A gatherer
--- a/trefoilpier/tier/tests/test_vm_start.py
+++ b/trefoilpier/tier/tests/test_vm_start.py
@@ -32,3 +32,54 @@
     fleet.clock.advance(0.1)
     pools = fleet.vms[0].process._leaf_registry.pool_by_id
     assert pools["s0-7"].connected
+
+
+def make_fleet(tmp_path, *, large, small):
+    made = memory_fleet.MemoryFleet(
+        directory=tmp_path,
+        log=base.NullEventLog(),
+        sizes=memory_fleet.FleetSizes(large=large, small=small, zones=2),
+    )
+    made.start_all()
+    made.clock.advance(3.0)
+    return made
+
+
+@pytest.mark.parametrize("index", [1, 4])
+@pytest.mark.parametrize(
+    "cut", [memory_fleet.LeafCut.REFUSE, memory_fleet.LeafCut.SILENT]
+)
+def test_vm_that_the_store_refuses_after_its_start_serves(tmp_path, cut, index):
+    # Replays trouble-2 of a deployment with 89 VMs: all lost power, and the
+    # store turned a third of them away for 5 s after their return. Their
+    # callers were refused, for the VMs knew no other one.
+    made = make_fleet(tmp_path, large=2, small=4)
+    vm = made.vms[index]
+    vm.kill()
+    made.clock.advance(0.5)
+    vm.cut_from_store(cut)
+    vm.start()
+    made.clock.advance(0.5)
+    assert vm.process.ready()
+    for k in range(10):
+        made.send_request(b"/g/%d" % k, b"GET", vm)
+        made.clock.advance(0.1)
+    assert [each.status for each in made.answers[-10:]] == 10 * [200]
+
+
+def test_relaying_vm_without_routes_refuses_at_once(tmp_path):
+    # Guards against a wait of 30 ms before the refusal: a caller who is refused
+    # within a quarter of the objective still has time for another VM.
+    made = make_fleet(tmp_path, large=1, small=1)
+    for vm in made.vms:
+        vm.kill()
+    made.clock.advance(0.5)
+    vm = made.vms[1]
+    vm.cut_from_store(memory_fleet.LeafCut.REFUSE)
+    vm.start()
+    made.clock.advance(0.05)
+    made.send_request(b"/g/1", b"GET", vm)
+    made.clock.advance(0.2)
+    answer = made.answers[-1]
+    assert answer.status == 503
+    assert answer.took_s < 0.005
