Two import circles of the callers' path are resolved

forward/engine with decision_wait, and replicas/pool with ends: the wait is given its clock, suspicions and callbacks, and the ends of leaves are reported with the leaf's entry. Why a call was lost is a module of its own, replicas/loss. No behaviour changes.

--- a/trefoilpier/forward/decision_wait.py
+++ b/trefoilpier/forward/decision_wait.py
@@ -1,12 +1,9 @@
 """Repeats of a gathered request that wait until its first run is decided on."""
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 from trefoilpier import base, http1, quarantine
 
-if TYPE_CHECKING:
-    from trefoilpier.forward import engine
-
 # Longer than a decision takes; then the request is judged again.
 _WAIT_MAX_S = 0.25
 
@@ -18,34 +15,49 @@
     milliseconds, and the repeat would crash the next ones.
     """
 
-    __slots__ = ("_early", "_engine", "_exchange", "_fingerprint", "_timer")
+    __slots__ = (
+        "_clock",
+        "_early",
+        "_exchange",
+        "_fingerprint",
+        "_handle_again",
+        "_on_end",
+        "_timer",
+    )
 
     def __init__(
         self,
         *,
-        env: "engine.ForwardEngine",
+        clock: base.Clock,
+        early: quarantine.EarlySuspicions,
         exchange: http1.Exchange,
         fingerprint: str,
+        on_end: Callable[[], None],
+        handle_again: Callable[[http1.Exchange], None],
     ) -> None:
         """Create it; `start` begins the wait.
 
         Args:
-            env: The engine that handles the request.
+            clock: Source of time and timers.
+            early: Suspicions of requests, which tell of the decision.
             exchange: The request.
             fingerprint: Its fingerprint.
+            on_end: Called once when the wait ends, for whatever reason.
+            handle_again: Called with the request once the wait is over, unless
+                the caller has left.
         """
-        assert env.gate is not None and env.gate.early is not None
-        self._early: quarantine.EarlySuspicions = env.gate.early
-        self._engine = env
+        self._clock = clock
+        self._early = early
+        self._on_end = on_end
+        self._handle_again = handle_again
         self._exchange = exchange
         self._fingerprint = fingerprint
         self._timer: base.Timer | None = None
 
     def start(self) -> None:
-        """Wait; the VM does not end meanwhile."""
-        self._engine.in_flight += 1
+        """Begin to wait."""
         self._exchange.on_disconnect = self._stop
-        self._timer = self._engine.clock.call_later(_WAIT_MAX_S, self._end)
+        self._timer = self._clock.call_later(_WAIT_MAX_S, self._end)
         self._early.wait(self._fingerprint, self._end)
 
     def _stop(self) -> bool:
@@ -56,9 +68,9 @@
         self._timer = None
         self._early.stop_waiting(self._fingerprint, self._end)
         self._exchange.on_disconnect = None
-        self._engine.in_flight -= 1
+        self._on_end()
         return True
 
     def _end(self) -> None:
         if self._stop():
-            self._engine.handle(self._exchange)
+            self._handle_again(self._exchange)
--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -382,9 +382,7 @@
             waited_s=now - exchange.received_at,
         )
         if admitted.waits:
-            decision_wait.DecisionWait(
-                env=self, exchange=exchange, fingerprint=identity.fingerprint
-            ).start()
+            self._wait_for_decision(exchange, identity.fingerprint)
             return True
         context.identity = identity
         context.suspect = admitted.suspect or admitted.canary
@@ -402,6 +400,25 @@
             )
         return admitted.refused
 
+    def _wait_for_decision(
+        self, exchange: http1.Exchange, fingerprint: str
+    ) -> None:
+        """Handle a request again once it is known if it crashes leaves."""
+        assert self.gate is not None and self.gate.early is not None
+        # The VM does not end meanwhile.
+        self.in_flight += 1
+        decision_wait.DecisionWait(
+            clock=self.clock,
+            early=self.gate.early,
+            exchange=exchange,
+            fingerprint=fingerprint,
+            on_end=self._end_decision_wait,
+            handle_again=self.handle,
+        ).start()
+
+    def _end_decision_wait(self) -> None:
+        self.in_flight -= 1
+
     def _end_trial(self, context: request_context.RequestContext) -> None:
         if context.on_trial and self.gate and context.identity:
             context.on_trial = False
--- a/trefoilpier/quarantine/recorder.py
+++ b/trefoilpier/quarantine/recorder.py
@@ -34,15 +34,15 @@
 
     def handle_end(
         self,
-        ended: replicas.LeafPool,
+        ended: replicas.LeafEntry,
         running: list[replicas.RunningCall],
         evidence: str,
     ) -> None:
         """Record the end of a leaf under each request that it was running."""
         self._log.emit(
             base.Event.LEAF_ENDED,
-            leaf=ended.entry.id,
-            service=ended.entry.service,
+            leaf=ended.id,
+            service=ended.service,
             evidence=evidence,
             requests=[call.request_id.decode("latin-1") for call in running],
             fingerprints=[call.identity.fingerprint for call in running],
@@ -51,26 +51,24 @@
         now_ms = self._ledger.now_ms()
         for call in running:
             if self._cases is not None:
-                self._cases.record_end(
-                    call.identity.fingerprint, ended.entry.service
-                )
+                self._cases.record_end(call.identity.fingerprint, ended.service)
             self._ledger.record_end(
                 call.identity,
                 leaf=_incarnation(ended),
                 end=_make_end(
-                    ended.entry.service,
+                    ended.service,
                     sent_ms=now_ms - int((now - call.sent_at) * 1000),
                     ended_ms=now_ms - int((now - call.ended_at) * 1000),
                 ),
             )
 
-    def handle_alive(self, alive: replicas.LeafPool) -> None:
+    def handle_alive(self, alive: replicas.LeafEntry) -> None:
         """Withdraw the evidence of a leaf that answers."""
         self._ledger.clear_leaf(_incarnation(alive))
 
 
-def _incarnation(pool: replicas.LeafPool) -> str:
-    return f"{pool.entry.id}/{pool.entry.incarnation}"
+def _incarnation(leaf: replicas.LeafEntry) -> str:
+    return f"{leaf.id}/{leaf.incarnation}"
 
 
 def _make_end(service: str, *, sent_ms: int, ended_ms: int) -> evidence.LeafEnd:
--- a/trefoilpier/replicas/__init__.py
+++ b/trefoilpier/replicas/__init__.py
@@ -9,14 +9,13 @@
 )
 from trefoilpier.replicas.choice import LeafChooser
 from trefoilpier.replicas.ends import (
-    CallLoss,
     LeafEndDetector,
     LeafEndObserver,
-    LossCause,
     NullLeafEndObserver,
     RunningCall,
 )
 from trefoilpier.replicas.entry import LeafEntry, LeafPhase
+from trefoilpier.replicas.loss import CallLoss, LossCause
 from trefoilpier.replicas.policy import LeafPolicy
 from trefoilpier.replicas.pool import LeafPool
 from trefoilpier.replicas.registry import LeafRegistry
--- a/trefoilpier/replicas/call.py
+++ b/trefoilpier/replicas/call.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from trefoilpier import http1
-from trefoilpier.replicas import ends
+from trefoilpier.replicas import loss as losses
 
 _REUSE_IDLE_S = 4.0  # Used when the leaf states no idle timeout.
 # Leaves may close an idle connection without notice.
@@ -130,6 +130,6 @@
         self.connection: http1.ClientConnection | None = None
         self.sent_at = 0.0
         self.sent_in_contact = False
-        self.loss: ends.CallLoss | None = None
+        self.loss: losses.CallLoss | None = None
         self.started_at = 0.0
         self.done = False
--- a/trefoilpier/replicas/ends.py
+++ b/trefoilpier/replicas/ends.py
@@ -7,14 +7,11 @@
 """
 
 import abc
-import enum
-from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from trefoilpier.replicas import call as calls
-    from trefoilpier.replicas import pool
+from trefoilpier.replicas import call as calls
+from trefoilpier.replicas import entry as entries
+from trefoilpier.replicas import loss as losses
 
 # A leaf of which connections were lost is connected to at once.
 _REFUSED_WITHIN_S = 0.5
@@ -36,59 +33,12 @@
         ended_at: Monotonic time at which its connection was lost.
     """
 
-    identity: "calls.RequestIdentity"
+    identity: calls.RequestIdentity
     request_id: bytes
     sent_at: float
     ended_at: float
 
 
-class LossCause(enum.Enum):
-    """What is known of the reason why a call was lost.
-
-    UNKNOWN is being found out. CONNECTION lost no more than the connection: the
-    leaf runs on. LEAF_ENDED lost the leaf.
-    """
-
-    UNKNOWN = enum.auto()
-    CONNECTION = enum.auto()
-    LEAF_ENDED = enum.auto()
-
-
-class CallLoss:
-    """A call that was lost by disconnection, and why.
-
-    Attributes:
-        cause: What is known of the reason.
-        service: Service of the leaf.
-        on_cause: Called with each new cause.
-
-    >>> loss = CallLoss(service="s")
-    >>> loss.set_cause(LossCause.CONNECTION)
-    >>> loss.harmless
-    True
-    """
-
-    __slots__ = ("cause", "on_cause", "service")
-
-    def __init__(self, *, service: str) -> None:
-        """Start with an unknown cause."""
-        self.service = service
-        self.cause = LossCause.UNKNOWN
-        self.on_cause: Callable[[LossCause], None] = lambda cause: None
-
-    @property
-    def harmless(self) -> bool:
-        """Whether the leaf is known to have outlived the call."""
-        return self.cause is LossCause.CONNECTION
-
-    def set_cause(self, cause: LossCause) -> None:
-        """Set the cause; the end of a leaf is final."""
-        if cause is self.cause or self.cause is LossCause.LEAF_ENDED:
-            return
-        self.cause = cause
-        self.on_cause(cause)
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class _Lost:
     """A lost call of which the reason is not known yet.
@@ -99,7 +49,7 @@
         running: The call as evidence; None if it may not have arrived.
     """
 
-    loss: CallLoss
+    loss: losses.CallLoss
     lost_at: float
     running: RunningCall | None
 
@@ -111,18 +61,21 @@
 
     @abc.abstractmethod
     def handle_end(
-        self, ended: "pool.LeafPool", running: list[RunningCall], evidence: str
+        self,
+        ended: entries.LeafEntry,
+        running: list[RunningCall],
+        evidence: str,
     ) -> None:
         """Handle the end of a leaf.
 
         Args:
-            ended: Pool of the leaf.
+            ended: Entry of the leaf.
             running: Calls that it was running.
             evidence: How its end was noticed.
         """
 
     @abc.abstractmethod
-    def handle_alive(self, alive: "pool.LeafPool") -> None:
+    def handle_alive(self, alive: entries.LeafEntry) -> None:
         """Handle an answer of a leaf that was reported as ended."""
 
 
@@ -132,11 +85,14 @@
     __slots__ = ()
 
     def handle_end(
-        self, ended: "pool.LeafPool", running: list[RunningCall], evidence: str
+        self,
+        ended: entries.LeafEntry,
+        running: list[RunningCall],
+        evidence: str,
     ) -> None:
         """Do nothing."""
 
-    def handle_alive(self, alive: "pool.LeafPool") -> None:
+    def handle_alive(self, alive: entries.LeafEntry) -> None:
         """Do nothing."""
 
 
@@ -148,20 +104,20 @@
         "_cancelled",
         "_lost",
         "_observer",
-        "_pool",
         "_reported_at",
+        "entry",
     )
 
     def __init__(
-        self, *, pool: "pool.LeafPool", observer: LeafEndObserver
+        self, *, entry: entries.LeafEntry, observer: LeafEndObserver
     ) -> None:
         """Create a detector for a leaf that runs.
 
         Args:
-            pool: Pool of the leaf.
+            entry: Entry of the leaf; may be replaced by a newer one.
             observer: Receives the calls that it was running when it ended.
         """
-        self._pool = pool
+        self.entry = entry
         self._observer = observer
         self._lost: list[_Lost] = []
         self._accepted_since_loss = False
@@ -174,15 +130,22 @@
         """Whether calls were lost of which the reason is not known yet."""
         return bool(self._lost)
 
-    def record_lost(self, call: "calls.LeafCall", now: float) -> None:
+    def record_lost(
+        self, call: calls.LeafCall, now: float, *, leaving: bool
+    ) -> None:
         """Record a call whose connection was closed before its answer.
 
         A leaf that is known to leave may end at any time. If calls before this
         one have failed and none was answered since, it may not have arrived.
+
+        Args:
+            call: The call.
+            now: Monotonic time.
+            leaving: Whether the leaf is known to leave.
         """
-        call.loss = CallLoss(service=self._pool.entry.service)
-        if call.identity is None or self._pool.leaving:
-            call.loss.set_cause(LossCause.CONNECTION)
+        call.loss = losses.CallLoss(service=self.entry.service)
+        if call.identity is None or leaving:
+            call.loss.set_cause(losses.LossCause.CONNECTION)
             return
         running = None
         if call.sent_in_contact:
@@ -192,13 +155,13 @@
 
     def record_others_open(self) -> None:
         """Record that other connections have outlived the lost ones."""
-        self._set_cause(LossCause.CONNECTION)
+        self._set_cause(losses.LossCause.CONNECTION)
 
-    def _set_cause(self, cause: LossCause) -> None:
+    def _set_cause(self, cause: losses.LossCause) -> None:
         for each in self._lost:
             each.loss.set_cause(cause)
 
-    def record_cancelled(self, call: "calls.LeafCall", now: float) -> None:
+    def record_cancelled(self, call: calls.LeafCall, now: float) -> None:
         """Record a call that was cancelled while it was in flight."""
         if call.identity is not None:
             self._cancelled.append(_running(call, call.identity, now))
@@ -211,7 +174,7 @@
     def record_accepted(self) -> None:
         """Record that the leaf's address accepted a connection."""
         self._accepted_since_loss = True
-        self._set_cause(LossCause.CONNECTION)
+        self._set_cause(losses.LossCause.CONNECTION)
 
     def record_removed(
         self, reason: str, now: float, *, replaced: bool
@@ -238,16 +201,16 @@
                 if each.lost_at > sent_at:
                     self._lost.append(each)
                 else:
-                    each.loss.set_cause(LossCause.CONNECTION)
+                    each.loss.set_cause(losses.LossCause.CONNECTION)
         if self._reported_at is not None and sent_at > self._reported_at:
             self._reported_at = None
-            self._observer.handle_alive(self._pool)
+            self._observer.handle_alive(self.entry)
 
     def _report(self, evidence: str, now: float, *, within_s: float) -> None:
         recent = [each for each in self._lost if now - each.lost_at < within_s]
         self._lost = []
         for each in recent:
-            each.loss.set_cause(LossCause.LEAF_ENDED)
+            each.loss.set_cause(losses.LossCause.LEAF_ENDED)
         running = [each.running for each in recent if each.running is not None]
         if not running:
             return
@@ -259,11 +222,11 @@
         ]
         self._cancelled = []
         self._reported_at = now
-        self._observer.handle_end(self._pool, running, evidence)
+        self._observer.handle_end(self.entry, running, evidence)
 
 
 def _running(
-    call: "calls.LeafCall", identity: "calls.RequestIdentity", now: float
+    call: calls.LeafCall, identity: calls.RequestIdentity, now: float
 ) -> RunningCall:
     return RunningCall(
         identity=identity,
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -157,7 +157,7 @@
         # Whether the next connection has to show that the leaf answers.
         self._in_doubt = False
         self.end_detector = ends.LeafEndDetector(
-            pool=self, observer=end_observer or ends.NullLeafEndObserver()
+            entry=entry, observer=end_observer or ends.NullLeafEndObserver()
         )
         self.suspect_count = 0
         now = clock.monotonic()
@@ -461,7 +461,9 @@
         """
         if self.evacuated:
             return
-        self.end_detector.record_lost(call, self._clock.monotonic())
+        self.end_detector.record_lost(
+            call, self._clock.monotonic(), leaving=self.leaving
+        )
         if self.end_detector.undecided:
             self._clock.call_later(0.0, self._connect_if_none)
             for pause_s in _LOSS_CHECK_PAUSES_S:
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -276,6 +276,7 @@
         if current.entry.phase is not entry.phase:
             self.generation += 1
         previous, current.entry = current.entry, entry
+        current.end_detector.entry = entry
         if self.cold_leaves.handle_entry(current, previous):
             self.generation += 1
         if previous.zone != entry.zone and not current.leaving:
