Seeds are taken back; a refused relaying VM reads no more than it needs

Kept: a relaying VM whose read of the list of gatherers has failed refuses at once; it does not start to follow the whole store while the store fails, and asks for the list at most every 0.5 s.

--- a/trefoilpier/fleet/__init__.py
+++ b/trefoilpier/fleet/__init__.py
@@ -19,7 +19,6 @@
 from trefoilpier.fleet.registration import VmRegistration
 from trefoilpier.fleet.relay import RelayHandler, RelayWire, relay_table
 from trefoilpier.fleet.role import can_gather, gatherers_max
-from trefoilpier.fleet.seeds import SeedClient, SeedHandler
 from trefoilpier.fleet.selection import GathererSelection
 from trefoilpier.fleet.state_handler import (
     SNAPSHOT_ENCODING,
@@ -41,8 +40,6 @@
     "VmRegistration",
     "RelayHandler",
     "RelayWire",
-    "SeedClient",
-    "SeedHandler",
     "ServiceReach",
     "StateHandler",
     "VmDirectory",
--- a/trefoilpier/fleet/gatherers.py
+++ b/trefoilpier/fleet/gatherers.py
@@ -10,7 +10,6 @@
 from trefoilpier.fleet import (
     directory,
     recent_values,
-    seeds,
     state_handler,
     state_poller,
 )
@@ -19,8 +18,9 @@
 _DISCOVERY_PAUSE_S = 0.25
 # Upper limit of that pause, and the pause while a gatherer is usable.
 _DISCOVERY_PAUSE_MAX_S = 3.0
-# The store's answer is waited for this long before other VMs are asked.
-_STORE_WAIT_S = 0.1
+# Upper limit of the pause while the store fails. These reads may be stale, and
+# cost a tenth.
+_DISCOVERY_FAILED_PAUSE_MAX_S = 0.5
 # A gatherer that went down is ranked last for this time.
 _DOWN_PENALTY_S = 3.0
 # What a gatherer that is no longer polled has reported counts for this time.
@@ -62,7 +62,6 @@
         "_reactor",
         "_registry",
         "_rng",
-        "_seeds",
         "_store",
         "_zone",
         "directory",
@@ -90,7 +89,6 @@
             [directory.VmRecord, state_handler.GathererState], None
         ],
         reads_suspicions: bool = False,
-        seed_client: seeds.SeedClient | None = None,
     ) -> None:
         """Initialize the watch; `start` begins discovery.
 
@@ -109,12 +107,9 @@
                 matters now.
             on_state: Called with each state received from a gatherer.
             reads_suspicions: Whether suspicions of requests matter.
-            seed_client: Asks other VMs for gatherers while the store does not
-                answer; None for none.
         """
         self.reads_suspicions = reads_suspicions
         self.read_failed = False
-        self._seeds = seed_client
         self._clock = clock
         self._log = log
         self._rng = rng
@@ -174,35 +169,19 @@
                 retry_pause_s = _DISCOVERY_PAUSE_S
             else:
                 retry_pause_s = min(_DISCOVERY_PAUSE_MAX_S, 1.3 * retry_pause_s)
-                asking = self._clock.call_later(_STORE_WAIT_S, self._ask_seeds)
                 snapshot = await self._store.read_all(
                     directory.VM_KEY_PREFIX, allow_stale=True
                 )
-                asking.cancel()
                 self.read_failed = snapshot.is_error()
                 if snapshot.is_ok():
                     self._apply_items(snapshot.ok.items)
                 else:
-                    self._ask_seeds()
+                    retry_pause_s = min(
+                        _DISCOVERY_FAILED_PAUSE_MAX_S, retry_pause_s
+                    )
             pause_s = _DISCOVERY_PAUSE_MAX_S if self.usable else retry_pause_s
             await self.sleep(pause_s * self._rng.uniform(0.8, 1.2))
 
-    def _ask_seeds(self) -> None:
-        """Ask other VMs for gatherers while none is usable."""
-        if self._seeds is not None and not self.usable:
-            self._seeds.ask(self._apply_told_records)
-
-    def _apply_told_records(self, records: list[directory.VmRecord]) -> None:
-        """Poll gatherers that a seed knows, unless better ones are known."""
-        if self.usable:
-            return
-        known = {record.id: record for record in records}
-        for record in self.directory.record_by_id.values():
-            told = known.get(record.id)
-            if told is None or told.started_ms < record.started_ms:
-                known[record.id] = record
-        self._apply_records(list(known.values()))
-
     def _apply_items(self, items: list[store.Item]) -> None:
         decoded = [directory.decode_vm_record(item.value) for item in items]
         records = [each.ok for each in decoded if each.is_ok()]
--- a/trefoilpier/platform/boot.py
+++ b/trefoilpier/platform/boot.py
@@ -72,9 +72,6 @@
         min_lease_s: Minimum duration of the store's leases, in seconds.
         cores: CPU capacity of this VM, in cores of usual speed.
         link_mbps: Capacity of this VM's network link in Mbit/s.
-        seed_address: Address at which this VM tells starting ones which
-            gatherers it knows; None if not stated.
-        seeds: Such addresses of a few VMs, which may be stale.
         quotas: Bounds on the quotas of client accounts; None if not stated.
         cold_leaves: Bounds on requests to cold leaves; None if not stated.
         revoke_s: Seconds after which accounts that are not confirmed to be
@@ -93,8 +90,6 @@
     min_lease_s: float
     cores: float
     link_mbps: float
-    seed_address: Address | None = None
-    seeds: tuple[Address, ...] = ()
     quotas: QuotaBounds | None = None
     cold_leaves: ColdLeafBounds | None = None
     revoke_s: float | None = None
@@ -151,12 +146,6 @@
         # of that core relative to a usual one.
         cores=reader.number("limits.cpu-share") * reader.number("limits.cores"),
         link_mbps=reader.number("limits.link-mbps"),
-        seed_address=(
-            reader.address("listen-addrs.control")
-            if reader.has("listen-addrs.control")
-            else None
-        ),
-        seeds=reader.addresses("seeds"),
         quotas=_read_quota_bounds(reader),
         cold_leaves=_read_cold_leaf_bounds(reader),
         revoke_s=_read_revoke_s(reader),
@@ -225,18 +214,7 @@
             return 0.0
 
     def address(self, name: str) -> Address:
-        return self._parse_address(name, self.text(name).partition(",")[0])
-
-    def addresses(self, name: str) -> tuple[Address, ...]:
-        """Return a list of addresses; empty if there is none."""
-        values = self._value_by_name.get(name, "").split(",")
-        return tuple(
-            self._parse_address(name, value.strip())
-            for value in values
-            if value.strip()
-        )
-
-    def _parse_address(self, name: str, value: str) -> Address:
+        value = self.text(name).partition(",")[0]
         host, _, port = value.rpartition(":")
         if not port.isdigit():
             if value:
--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -99,8 +99,6 @@
                 }
             )
         )
-        if boot.seed_address is not None:
-            self._listen(boot.seed_address, self._vm.seed_handler)
         record = self._own_record()
         if self._vm.can_gather:
             # Else the first request would wait for it.
--- a/trefoilpier/tier/dispatcher.py
+++ b/trefoilpier/tier/dispatcher.py
@@ -112,6 +112,8 @@
             self._no_gatherer_since = now
         elif (
             not self._store_sync_started
+            # A store that fails here would fail there as well.
+            and not self._relay.watch.read_failed
             and now - self._no_gatherer_since > _FALLBACK_DELAY_S
         ):
             self._store_sync_started = True
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -51,7 +51,6 @@
         ledger: Evidence against requests that may crash leaves.
         request_dispatcher: Handler of callers' requests.
         relay_handler: Handler of requests that other VMs relay.
-        seed_handler: Handler of starting VMs' questions for gatherers.
         state_handler: Handler of other VMs' polls for the state.
         stopping: Whether the VM is shutting down.
     """
@@ -73,7 +72,6 @@
         "_on_limits",
         "_policy",
         "_reach",
-        "_record",
         "_registration",
         "_reactor",
         "_relay",
@@ -87,7 +85,6 @@
         "ledger",
         "request_dispatcher",
         "relay_handler",
-        "seed_handler",
         "state_handler",
         "stopping",
     )
@@ -193,7 +190,6 @@
             self._store_sync.last_call_failed or self._relay.watch.read_failed
         )
         self._registration: fleet.VmRegistration | None = None
-        self._record: fleet.VmRecord | None = None
         self._peer_sync = peer_sync.PeerSync(
             clock=clock, log=log, reactor=reactor, local_sync=self._store_sync
         )
@@ -243,7 +239,6 @@
         self._shared_limits: shared_limits.SharedLimits | None = None
         if boot.quotas is not None and self.can_gather:
             self._shared_limits = self._make_shared_limits(boot.quotas)
-        self.seed_handler = fleet.SeedHandler(get_records=self._known_gatherers)
         self.relay_handler = fleet.RelayHandler(engine=self._engine)
         self.request_dispatcher = dispatcher.RequestDispatcher(
             clock=clock,
@@ -336,11 +331,6 @@
             tracks_leaves=tracks_leaves,
             on_state=on_state,
             reads_suspicions=reads_suspicions,
-            seed_client=fleet.SeedClient(
-                clock=self._clock,
-                reactor=self._reactor,
-                addresses=[(seed.host, seed.port) for seed in self._boot.seeds],
-            ),
         )
         return dispatcher.Relay(engine=engine, wire=relay_wire, watch=watch)
 
@@ -386,7 +376,6 @@
         Args:
             record: Record to register in the store if this VM can gather.
         """
-        self._record = record
         self._warm_connections()
         if not self.can_gather:
             self.request_dispatcher.start()
@@ -405,15 +394,6 @@
         if self._leaf_reports is not None:
             self._leaf_reports.start()
 
-    def _known_gatherers(self) -> list[fleet.VmRecord]:
-        """Return the gatherers that this VM knows, for one that starts."""
-        records = dict(self._relay.watch.directory.record_by_id)
-        records.update(self._detour.watch.directory.record_by_id)
-        records.update(self._directory.record_by_id)
-        if self._record is not None and self.can_gather:
-            records[self._record.id] = self._record
-        return list(records.values())
-
     @property
     def can_gather(self) -> bool:
         """Whether the VM has enough capacity to gather."""
