A late call is sent again where half of the slots are free, also if slow

Cause: a second send at a leaf as slow as the first was withheld, so that slots and retry budget were spared.

Change: a leaf with a load below 0.5 and without an overdue call gets the second send within the retry budget.

--- a/trefoilpier/forward/hedging.py
+++ b/trefoilpier/forward/hedging.py
@@ -6,6 +6,9 @@
 # Expected cost up to which a leaf counts as fast; 1 is an idle leaf at its
 # usual speed, 2 a full one.
 _COST_MAX = 3.0
+# Load up to which a second send takes no slot that another request needs. Of
+# two leaves that are equally slow, one still answers before the other.
+_SPARE_LOAD_MAX = 0.5
 # Part of the expected time left of the late call that a slow leaf may take. A
 # smaller gain is within the error of the estimates, and not worth a slot.
 _TIME_LEFT_SHARE = 2 / 3
@@ -70,7 +73,8 @@
     late call at a leaf of usual speed was held up, by a pause or a lost
     packet, and another leaf of usual speed with a free slot overtakes it.
     A leaf with an overdue call of its own does not: it has paused as well, or
-    has turned slow before any late answer could show it.
+    has turned slow before any late answer could show it. A leaf with half of
+    its slots free is tried however slow it is, within the retry budget.
 
     Args:
         other: The other leaf.
@@ -83,9 +87,14 @@
     >>> slow = LeafOutlook(load=0.5, cost=6.0)
     >>> may_answer_sooner(slow, current_cost=6.5, elapsed=2.2)
     False
+    >>> slow = LeafOutlook(load=0.25, cost=6.0)
+    >>> may_answer_sooner(slow, current_cost=6.5, elapsed=2.2)
+    True
     """
     if other.overdue or other.load >= 1.0:
         return False
+    if other.load < _SPARE_LOAD_MAX:
+        return True
     return other.cost < max(
         _COST_MAX, _TIME_LEFT_SHARE * (current_cost - elapsed)
     )
