--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -27,9 +27,9 @@
     response_size,
     responses,
     service_state,
+    shared_states,
     single_run,
     wait_queue,
-    weighted_round_robin,
 )
 from trefoilpier.forward import wire as wires
 
@@ -51,7 +51,6 @@
         quota_gate: Admission by the quotas of accounts; None for no quotas.
         route_read_failed: Returns whether the last attempt to read the routes
             failed.
-        vm_count: VMs that share each service's retry allowance.
         histogram: Latencies of all completed requests.
         sends: Requests sent to leaves.
         sends_extra: Requests among them that were retries or hedges.
@@ -59,14 +58,9 @@
     """
 
     __slots__ = (
-        "_budget_by_service",
-        "_budget_limits",
-        "_latency_by_route",
         "_log",
-        "_queue_by_service",
         "_response_sizes",
-        "_split_by_route",
-        "_started_at",
+        "_states",
         "_table",
         "account_usage",
         "accounts_confirmed",
@@ -78,7 +72,6 @@
         "route_read_failed",
         "sends",
         "sends_extra",
-        "vm_count",
     )
 
     def __init__(
@@ -100,25 +93,21 @@
         self._table: routes.RouteTable | None = None
         self.draining = False
         self.in_flight = 0
-        self.vm_count = budget.ASSUMED_VM_COUNT
         self.count_by_outcome: dict[base.ResultCode, int] = {}
         self.histogram = histogram.LatencyHistogram()
         self.sends = 0
         self.sends_extra = 0
         self._log = log
-        self._started_at = clock.monotonic()
-        self._budget_limits = budget_limits
-        self._budget_by_service: dict[str, budget.RetryBudget] = {}
-        self._queue_by_service: dict[str, wait_queue.WaitQueue] = {}
-        self._latency_by_route: dict[str, latency.LatencyEstimator] = {}
+        self._states = shared_states.SharedStates(
+            clock=clock,
+            budget_limits=budget_limits,
+            by_objective=self.policy.order_by_objective,
+        )
         self._response_sizes = response_size.ResponseSizes()
         self.route_read_failed: Callable[[], bool] = lambda: False
         self.accounts_confirmed: Callable[[], bool] = lambda: True
         self.account_usage = accounts.AccountUsage()
         self.quota_gate: quota.QuotaGate | None = None
-        self._split_by_route: dict[
-            str, weighted_round_robin.WeightedRoundRobin
-        ] = {}
 
     @property
     def table(self) -> routes.RouteTable | None:
@@ -129,68 +118,32 @@
     def table(self, table: routes.RouteTable | None) -> None:
         previous, self._table = self._table, table
         if previous is not None and table is not None:
-            self._drop_unused_state(previous, table)
-
-    def _drop_unused_state(
-        self, previous: routes.RouteTable, current: routes.RouteTable
-    ) -> None:
-        """Drop the state of services and routes in neither version.
-
-        State of the previous version is kept for requests in flight.
-        """
-        services = previous.used_services | current.used_services
-        route_names = {
-            route.name for route in (*previous.routes, *current.routes)
-        }
-        for by_service in (self._budget_by_service, self._queue_by_service):
-            for service in set(by_service) - services:
-                del by_service[service]
-        for by_route in (self._latency_by_route, self._split_by_route):
-            for name in set(by_route) - route_names:
-                del by_route[name]
+            self._states.drop_unused(previous, table)
 
     def budget_for(self, service: str) -> budget.RetryBudget:
         """Return the budget of retries and hedges of a service."""
-        service_budget = self._budget_by_service.get(service)
-        if service_budget is None:
-            service_budget = self._budget_limits.make_budget(
-                self.clock, self.vm_count, self._started_at
-            )
-            self._budget_by_service[service] = service_budget
-        return service_budget
-
-    def set_vm_count(self, count: int) -> None:
-        """Set the number of VMs that share each service's retry allowance."""
-        self.vm_count = max(1, count)
-        for service_budget in self._budget_by_service.values():
-            service_budget.allowance = (
-                self._budget_limits.allowance / self.vm_count
-            )
+        return self._states.budget_for(service)
 
     def queue_for(self, service: str) -> wait_queue.WaitQueue:
         """Return the queue of calls that wait for a leaf of a service."""
-        queue = self._queue_by_service.get(service)
-        if queue is None:
-            queue = wait_queue.WaitQueue(
-                clock=self.clock,
-                by_objective=self.policy.order_by_objective,
-            )
-            self._queue_by_service[service] = queue
-        return queue
+        return self._states.queue_for(service)
 
     def latency_for(self, route: routes.Route) -> latency.LatencyEstimator:
         """Return the latency estimator of a route."""
-        estimator = self._latency_by_route.get(route.name)
-        if estimator is None:
-            estimator = latency.LatencyEstimator(objective_s=route.objective_s)
-            self._latency_by_route[route.name] = estimator
-        return estimator
+        return self._states.latency_for(route)
+
+    @property
+    def vm_count(self) -> int:
+        """VMs that share each service's retry allowance."""
+        return self._states.vm_count
+
+    def set_vm_count(self, count: int) -> None:
+        """Set the number of VMs that share each service's retry allowance."""
+        self._states.set_vm_count(count)
 
     def start_queued_calls(self, pool: replicas.LeafPool) -> None:
         """Start queued calls after a leaf gained free capacity."""
-        service_queue = self._queue_by_service.get(pool.entry.service)
-        if service_queue is not None:
-            service_queue.dispatch()
+        self._states.dispatch(pool.entry.service)
 
     def record_send(self, *, extra: bool) -> None:
         """Count a request sent to a leaf."""
@@ -314,7 +267,7 @@
         identity_account = account_access.identity_account(access, metadata)
         if self._is_quarantined(exchange, context, identity_account):
             return
-        services = self._choose_services(route)
+        services = self._states.choose_services(route)
         refusal = self._admit(context, services)
         if refusal is not None:
             self._end_trial(context)
@@ -442,19 +395,6 @@
             *quota_wait.make_refusal(context, decision, self.account_usage),
         )
 
-    def _choose_services(self, route: routes.Route) -> tuple[str, ...]:
-        if route.gather is not None:
-            return route.gather.services
-        if len(route.targets) == 1:
-            return (route.targets[0].name,)
-        selector = self._split_by_route.get(route.name)
-        if selector is None or selector.targets != route.targets:
-            selector = weighted_round_robin.WeightedRoundRobin(
-                targets=route.targets
-            )
-            self._split_by_route[route.name] = selector
-        return (selector.next(),)
-
     def _admit(
         self,
         context: request_context.RequestContext,
@@ -462,38 +402,17 @@
     ) -> admission.Refusal | None:
         if not self.policy.admission:
             return None
-        state = self._admission_state(context, services)
+        state = service_state.estimate_admission_state(
+            context,
+            services,
+            registry=self.registry,
+            states=self._states,
+            now=self.clock.monotonic(),
+        )
         if context.route.gather is not None and self.policy.shard_selection:
             context.shard_states = state.services
         return admission.admit(state)
 
-    def _admission_state(
-        self,
-        context: request_context.RequestContext,
-        services: tuple[str, ...],
-    ) -> admission.AdmissionState:
-        now = self.clock.monotonic()
-        route = context.route
-        time_left_s = context.deadline - now
-        sufficient_s = time_left_s
-        if route.gather is not None:
-            sufficient_s = min(time_left_s, context.objective_deadline - now)
-        median_latency_s = self.latency_for(route).median_s
-        return admission.AdmissionState(
-            services=tuple(
-                service_state.estimate_service_state(
-                    self.registry.pools_by_service.get(service, ()),
-                    self._queue_by_service.get(service),
-                    median_latency_s=median_latency_s,
-                    now=now,
-                    sufficient_s=sufficient_s,
-                )
-                for service in services
-            ),
-            min_coverage=(route.gather.min_coverage if route.gather else 1.0),
-            time_left_s=time_left_s,
-        )
-
     def _refuse(
         self,
         exchange: http1.Exchange,
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -9,6 +9,7 @@
     hedge_timer,
     hedging,
     request_context,
+    service_leaves,
     service_result,
     wait_queue,
 )
@@ -41,6 +42,7 @@
         "_failed_answer",
         "_hedge_scheduled",
         "_hedge_timer",
+        "_leaves",
         "_on_done",
         "_queued",
         "_reason",
@@ -70,6 +72,7 @@
         self._env = env
         self._context = context
         self._service = service
+        self._leaves = service_leaves.ServiceLeaves(env=env, service=service)
         self._on_done = on_done
         self._call_by_leaf: dict[
             str, tuple[replicas.LeafPool, replicas.LeafCall]
@@ -128,13 +131,13 @@
         if self._env.is_held_back(self._context, self._resume_sending):
             self._leave_queue()
             return True
-        chosen = self._choose_pool()
+        chosen = self._leaves.choose(self._attempts.tried_leaf_ids)
         if chosen is None and self._env.registry.is_evacuated(self._service):
             self._leave_queue()
             self._finish_failed(_EVACUATED_REASON)
             return True
         if chosen is None:
-            self._await_send_times()
+            self._leaves.notify_when_sendable()
             return False
         self._leave_queue()
         self._send(chosen)
@@ -156,19 +159,6 @@
             self._queued = False
             self._env.queue_for(self._service).mark_removed()
 
-    def _pools(self) -> list[replicas.LeafPool]:
-        return self._env.registry.pools_by_service.get(self._service, [])
-
-    def _choose_pool(
-        self, further_exclude: frozenset[str] = frozenset()
-    ) -> replicas.LeafPool | None:
-        exclude = self._attempts.tried_leaf_ids
-        return self._env.chooser.choose(
-            self._pools(),
-            now=self._env.clock.monotonic(),
-            exclude=exclude | further_exclude if further_exclude else exclude,
-        )
-
     def _send_or_enqueue(self) -> None:
         """Send to the best leaf, or queue until one has free capacity."""
         if self._env.is_barred(self._context):
@@ -176,11 +166,11 @@
             return
         if self._env.is_held_back(self._context, self._resume_sending):
             return
-        chosen = self._choose_pool()
+        chosen = self._leaves.choose(self._attempts.tried_leaf_ids)
         if chosen is not None:
             self._send(chosen)
             return
-        wait_s = self._shortest_wait_s()
+        wait_s = self._leaves.shortest_wait_s(self._attempts.tried_leaf_ids)
         if wait_s is None:
             self._finish_failed(self._reason or "no leaf is usable")
             return
@@ -193,18 +183,13 @@
             priority=self._context.priority,
             objective_deadline=self._context.objective_deadline,
         )
-        self._await_send_times()
+        self._leaves.notify_when_sendable()
 
     def _resume_sending(self) -> None:
         """Send the request after it was decided whether it crashes leaves."""
         if not self._done and not self._call_by_leaf and not self._queued:
             self._send_or_enqueue()
 
-    def _await_send_times(self) -> None:
-        """Arrange for another try once a limited leaf takes a request."""
-        for pool in self._pools():
-            pool.notify_when_sendable()
-
     def _send(self, pool: replicas.LeafPool) -> None:
         leaf_id = pool.entry.id
         self._attempts.tried_leaf_ids.add(leaf_id)
@@ -254,14 +239,15 @@
         ) or self._env.is_held_back(self._context):
             self.hedge_outcome = hedging.HedgeOutcome.SUSPECT
             return
+        tried = self._attempts.tried_leaf_ids
         useless = self._useless_leaf_ids()
-        chosen = self._choose_pool(useless)
+        chosen = self._leaves.choose(tried | useless)
         leaf_useful = chosen is not None or not useless
         obstacle = hedging.obstacle(
             hedging.HedgeState(
                 in_flight=bool(self._call_by_leaf) and not self._queued,
                 attempt_left=self._has_attempts_left(),
-                other_usable=self._has_other_usable_leaf(),
+                other_usable=self._leaves.shortest_wait_s(tried) is not None,
                 leaf_free=chosen is not None or not leaf_useful,
                 leaf_useful=leaf_useful,
             )
@@ -281,45 +267,9 @@
         """Return the leaves where a hedge would not overtake the late call."""
         if not self._env.policy.hedge_only_if_useful or not self._call_by_leaf:
             return frozenset()
-        now = self._env.clock.monotonic()
         pool, call = next(iter(self._call_by_leaf.values()))
-        current_cost = pool.stats.expected_cost(now)
-        elapsed = (now - call.started_at) / call.median_latency_s
-        useless = []
-        for other in self._pools():
-            if other.entry.id in self._attempts.tried_leaf_ids:
-                continue
-            load = other.stats.load(now)
-            outlook = hedging.LeafOutlook(
-                load=load,
-                cost=other.stats.expected_cost(now, load=load),
-                overdue=other.has_overdue_call(now),
-            )
-            if not hedging.may_answer_sooner(
-                outlook, current_cost=current_cost, elapsed=elapsed
-            ):
-                useless.append(other.entry.id)
-        return frozenset(useless)
-
-    def _has_other_usable_leaf(self) -> bool:
-        """Return whether a leaf is usable that the call was not sent to."""
-        return self._shortest_wait_s() is not None
-
-    def _shortest_wait_s(self) -> float | None:
-        """Return how soon the limit of a usable leaf allows the call.
-
-        Returns:
-            Seconds, or None if no leaf is usable that it was not sent to.
-        """
-        now = self._env.clock.monotonic()
-        return min(
-            (
-                pool.send_wait_s()
-                for pool in self._pools()
-                if pool.entry.id not in self._attempts.tried_leaf_ids
-                and not pool.stats.is_ejected(now)
-            ),
-            default=None,
+        return self._leaves.useless_ids(
+            pool, call, tried=self._attempts.tried_leaf_ids
         )
 
     def _has_attempts_left(self) -> bool:
@@ -376,7 +326,7 @@
             pool.record_load(answer.load, now - call.sent_at)
         if not answer.wrong_leaf:
             pool.end_detector.record_answer(call.sent_at)
-            self._apply_notices(pool, answer)
+            self._leaves.apply_notices(pool, answer)
         if answer.wrong_leaf:
             self._env.registry.remove_replaced(pool.entry.id)
             self._reason = "another leaf now uses the address"
@@ -412,16 +362,6 @@
             )
         )
 
-    def _apply_notices(
-        self, pool: replicas.LeafPool, answer: wires.LeafAnswer
-    ) -> None:
-        """Apply what the leaf says about further requests to it."""
-        self._env.registry.set_rate_limit(pool, answer.rate_limit)
-        if answer.rest_s is not None:
-            pool.rest(answer.rest_s)
-        if answer.leaving:
-            self._env.registry.handle_leaving(pool)
-
     def _retry_not_sent(self) -> None:
         if self._done or self._call_by_leaf:
             return
--- a/trefoilpier/forward/service_state.py
+++ b/trefoilpier/forward/service_state.py
@@ -3,7 +3,12 @@
 from collections.abc import Iterable
 
 from trefoilpier import replicas
-from trefoilpier.forward import admission, wait_queue
+from trefoilpier.forward import (
+    admission,
+    request_context,
+    shared_states,
+    wait_queue,
+)
 
 
 def estimate_service_state(
@@ -48,3 +53,42 @@
         expected_s=lowest_s or 0.0,
         has_free_slot=lowest_load < 1.0,
     )
+
+
+def estimate_admission_state(
+    context: request_context.RequestContext,
+    services: tuple[str, ...],
+    *,
+    registry: replicas.LeafRegistry,
+    states: shared_states.SharedStates,
+    now: float,
+) -> admission.AdmissionState:
+    """Return the state by which a request is admitted.
+
+    Args:
+        context: The request.
+        services: Services to which it would be sent.
+        registry: Known leaves.
+        states: Queues and latencies of the VM.
+        now: Monotonic time.
+    """
+    route = context.route
+    time_left_s = context.deadline - now
+    sufficient_s = time_left_s
+    if route.gather is not None:
+        sufficient_s = min(time_left_s, context.objective_deadline - now)
+    median_latency_s = states.latency_for(route).median_s
+    return admission.AdmissionState(
+        services=tuple(
+            estimate_service_state(
+                registry.pools_by_service.get(service, ()),
+                states.queue_by_service.get(service),
+                median_latency_s=median_latency_s,
+                now=now,
+                sufficient_s=sufficient_s,
+            )
+            for service in services
+        ),
+        min_coverage=(route.gather.min_coverage if route.gather else 1.0),
+        time_left_s=time_left_s,
+    )
--- a/trefoilpier/forward/tests/test_gathering.py
+++ b/trefoilpier/forward/tests/test_gathering.py
@@ -156,13 +156,13 @@
     tier = make(shards=4)
     tier.send_request("q1")
     tier.clock.advance(0.3)
-    assert "shard0" in tier.engine._budget_by_service
+    assert "shard0" in tier.engine._states.budget_by_service
     other = memory_tier.make_route(name="other")
     tier.set_routes(other)
-    assert "shard0" in tier.engine._budget_by_service
+    assert "shard0" in tier.engine._states.budget_by_service
     tier.set_routes(other)
-    assert "shard0" not in tier.engine._budget_by_service
-    assert "r" not in tier.engine._latency_by_route
+    assert "shard0" not in tier.engine._states.budget_by_service
+    assert "r" not in tier.engine._states.latency_by_route
 
 
 def test_answer_at_the_objective_waits_on_a_narrow_link():
--- a/trefoilpier/replicas/choice.py
+++ b/trefoilpier/replicas/choice.py
@@ -1,7 +1,7 @@
 """Load balancing across the leaves of a service."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from trefoilpier.replicas import policy as policies
 from trefoilpier.replicas import pool
@@ -30,7 +30,7 @@
         pools: Iterable["pool.LeafPool"],
         *,
         now: float,
-        exclude: frozenset[str] | set[str] = frozenset(),
+        exclude: Set[str] = frozenset(),
     ) -> "pool.LeafPool | None":
         """Return the best leaf that has free capacity, or None.
 
