Components that a VM has more than once are made in a module of their own

tier/vm (613 to 507 lines) keeps the assembly; engines and relay paths are made in tier/components, and what a version of the routes says about leaves is in tier/leaf_settings. No behaviour changes.

--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -11,14 +11,15 @@
     http1,
     platform,
     quarantine,
-    replicas,
     routes,
 )
 from trefoilpier.tier import (
     account_confirmation,
+    components,
     crash_guard,
     dispatcher,
     evacuation_sync,
+    leaf_settings,
     peer_sync,
     quarantine_sync,
     store_sync,
@@ -31,17 +32,6 @@
 _READY_WAIT_MAX_S = 1.5  # Longest wait for leaves after the first load.
 # Longer than the record of a running VM can be missing from the store.
 _VM_COUNT_DECREASE_DELAY_S = 15.0
-# To one gatherer; each request in flight uses one connection.
-_RELAY_CONNECTIONS_MAX = 512
-# Gatherers keep idle connections as long as a caller's.
-_RELAY_REUSE_POLICY = replicas.ReusePolicy(
-    idle_s=10.0, non_repeatable_idle_s=10.0
-)
-# Generous, since a request is sent to a second gatherer only if the first one
-# has not run it.
-_RELAY_BUDGET = forward.RetryBudgetLimits(
-    share=1.0, window_s=10.0, allowance=200.0
-)
 
 
 class TierVm:
@@ -58,6 +48,7 @@
     __slots__ = (
         "_boot",
         "_clock",
+        "_components",
         "_confirmation",
         "_detour",
         "_directory",
@@ -143,10 +134,18 @@
             vm_id=boot.node_id,
             on_unsent=lambda: self.state_handler.notify_waiting(),
         )
-        self._engine, self._leaf_registry = self._make_engine(
+        self._components = components.ComponentFactory(
+            boot=boot,
+            clock=clock,
+            log=log,
+            reactor=reactor,
+            policy=policy,
+            rng=rng,
+            store_client=self._store,
+        )
+        self._engine, self._leaf_registry = self._components.make_engine(
             wire,
             boot.budget,
-            None,
             gate=self._guard.gate,
             end_observer=self._guard.end_observer,
         )
@@ -156,7 +155,7 @@
             clock=clock, log=log, revoke_s=boot.revoke_s
         )
         self._engine.accounts_confirmed = self._confirmation.is_confirmed
-        self._relay = self._make_relay(
+        self._relay = self._components.make_relay(
             wire,
             zone=boot.zone,
             tracks_leaves=lambda: False,
@@ -193,7 +192,7 @@
         self._peer_sync = peer_sync.PeerSync(
             clock=clock, log=log, reactor=reactor, local_sync=self._store_sync
         )
-        self._detour = self._make_relay(
+        self._detour = self._components.make_relay(
             wire,
             zone="",
             # The store reports them, unless it fails.
@@ -250,90 +249,6 @@
             start_store_sync=self._store_sync.start,
         )
 
-    def _make_engine(
-        self,
-        wire: forward.LeafWire,
-        budget: forward.RetryBudgetLimits,
-        reuse: replicas.ReusePolicy | None,
-        *,
-        gate: quarantine.QuarantineGate | None = None,
-        end_observer: replicas.LeafEndObserver | None = None,
-    ) -> tuple[forward.ForwardEngine, replicas.LeafRegistry]:
-        engine = forward.ForwardEngine(
-            clock=self._clock,
-            log=self._log,
-            wire=wire,
-            chooser=replicas.LeafChooser(
-                rng=self._rng,
-                zone=self._boot.zone,
-                policy=self._policy.leaves,
-            ),
-            budget_limits=budget,
-            forward_policy=self._policy,
-            gate=gate,
-        )
-        registry = replicas.LeafRegistry(
-            clock=self._clock,
-            log=self._log,
-            reactor=self._reactor,
-            id_header=wire.id_header,
-            on_capacity=engine.start_queued_calls,
-            vm_id=self._boot.node_id,
-            end_observer=end_observer,
-            reuse=reuse,
-            policy=self._policy.leaves,
-            cold_bounds=self._cold_bounds(),
-            read_warm_up_s=wire.read_warm_up_s,
-        )
-        engine.registry = registry
-        return engine, registry
-
-    def _cold_bounds(self) -> replicas.ColdBounds | None:
-        bounds = self._boot.cold_leaves
-        if bounds is None:
-            return None
-        return replicas.ColdBounds(factor=bounds.factor, slack=bounds.slack)
-
-    def _make_relay(
-        self,
-        wire: forward.LeafWire,
-        *,
-        zone: str,
-        tracks_leaves: Callable[[], bool],
-        on_state: Callable[[fleet.VmRecord, fleet.GathererState], None],
-        reads_suspicions: bool = False,
-    ) -> dispatcher.Relay:
-        """Create a path to gatherers and the watch that chooses them.
-
-        Args:
-            wire: Protocol of callers and leaves.
-            zone: Preferred availability zone of the gatherers; empty for any.
-            tracks_leaves: Returns whether a change of their leaves matters.
-            on_state: Called with each state that a gatherer reports.
-            reads_suspicions: Whether suspicions of requests matter.
-        """
-        relay_wire = fleet.RelayWire(wire=wire)
-        engine, registry = self._make_engine(
-            relay_wire, _RELAY_BUDGET, _RELAY_REUSE_POLICY
-        )
-        registry.set_connection_limits(
-            {fleet.GATHERER_SERVICE: _RELAY_CONNECTIONS_MAX}
-        )
-        watch = fleet.GathererWatch(
-            clock=self._clock,
-            log=self._log,
-            rng=self._rng,
-            reactor=self._reactor,
-            store_client=self._store,
-            registry=registry,
-            own_id=self._boot.node_id,
-            zone=zone,
-            tracks_leaves=tracks_leaves,
-            on_state=on_state,
-            reads_suspicions=reads_suspicions,
-        )
-        return dispatcher.Relay(engine=engine, wire=relay_wire, watch=watch)
-
     def _make_shared_limits(
         self, bounds: platform.QuotaBounds
     ) -> "shared_limits.SharedLimits":
@@ -416,31 +331,7 @@
         self._used_services = table.used_services
         self._detour.update_version(table.version)
         self._on_limits(table.limits)
-        self._leaf_registry.set_connection_limits(
-            {
-                service.name: service.connections_max
-                for service in table.service_by_name.values()
-            }
-        )
-        self._leaf_registry.set_cold_services(
-            {
-                service.name: replicas.ColdService(
-                    rate=service.cold_rate, cold_s=service.cold_s
-                )
-                for service in table.service_by_name.values()
-            }
-        )
-        self._leaf_registry.set_health_requests(
-            {
-                service.name: http1.encode_request(
-                    b"GET",
-                    service.health_path.encode(),
-                    headers=[(b"host", service.name.encode())],
-                    body=b"",
-                )
-                for service in table.service_by_name.values()
-            }
-        )
+        leaf_settings.apply_routes(self._leaf_registry, table)
         limits = [
             service.connections_max
             for service in table.service_by_name.values()
