Lost calls of unknown cause are remembered for 5 s at most

Cause: since the cause of a loss is found out for each disconnected call, a leaf that accepts connections and resets all answers added to a list without end (found when reading the change).

Change: losses older than the time in which an entry is removed are dropped; a test fails before (200 entries). Tests of what makes a loss harmless.

--- a/trefoilpier/replicas/ends.py
+++ b/trefoilpier/replicas/ends.py
@@ -151,6 +151,13 @@
         if call.sent_in_contact:
             running = _running(call, call.identity, now)
             self._accepted_since_loss = False
+        # Older ones are no evidence. A leaf that resets all answers would add
+        # to them without end.
+        self._lost = [
+            each
+            for each in self._lost
+            if now - each.lost_at < _REMOVED_WITHIN_S
+        ]
         self._lost.append(_Lost(loss=call.loss, lost_at=now, running=running))
 
     def record_others_open(self) -> None:
--- a/trefoilpier/replicas/tests/test_ends.py
+++ b/trefoilpier/replicas/tests/test_ends.py
@@ -164,3 +164,42 @@
     harness.clock.advance(0.1)
     harness.registry.remove_leaf("a")
     assert harness.observer.ends == []
+
+
+def test_leaf_that_resets_all_answers_fills_the_memory(harness):
+    for k in range(200):
+        harness.send(b"r%d" % k)
+        harness.clock.advance(0.05)
+        harness.reset_connections()
+        harness.clock.advance(0.05)
+    assert harness.observer.ends == []
+    assert len(harness.pool.end_detector._lost) <= 51
+
+
+def test_loss_beside_connections_that_stay_open_is_harmless(harness):
+    # Guards against requests that are suspected for a reset connection.
+    first = next(iter(harness.server.connections))
+    first.abort()
+    harness.clock.advance(0.001)
+    losses = [each.loss for each in harness.pool.end_detector._lost]
+    assert [each.harmless for each in losses] == [False]
+    harness.clock.advance(0.002)
+    assert [each.harmless for each in losses] == [True]
+
+
+def test_loss_of_all_connections_is_decided_by_a_new_one(harness):
+    harness.reset_connections()
+    harness.clock.advance(0.0005)
+    losses = [each.loss for each in harness.pool.end_detector._lost]
+    assert [each.harmless for each in losses] == [False, False]
+    harness.clock.advance(0.005)
+    assert [each.harmless for each in losses] == [True, True]
+
+
+def test_leaf_that_has_ended_is_no_harmless_loss(harness):
+    harness.end_leaf()
+    harness.clock.advance(0.0005)
+    losses = [each.loss for each in harness.pool.end_detector._lost]
+    harness.clock.advance(0.1)
+    assert losses
+    assert {each.cause for each in losses} == {replicas.LossCause.LEAF_ENDED}
