--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -48,6 +48,10 @@
 _REPLACED_S = 5.0
 _CRASH_SHARES = (0.05, 0.3, 1.0)  # Leaves that crash at the same time.
 _STABLE_S = 4.0
+_RESETS = 2  # Times in a run in which leaves reset answers and run on.
+_RESET_LEAVES_SHARE = 0.5
+_RESET_ANSWERS_RANGE = (0.05, 0.6)
+_RESET_RANGE_S = (1.0, 3.0)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -78,6 +82,7 @@
         "_next_replica",
         "_outages_by_vm",
         "_rng",
+        "_reset_rng",
         "_crashing",
         "_cuts",
         "_started_at",
@@ -95,6 +100,8 @@
             seed: Seed of everything random.
         """
         self._rng = random.Random(seed)
+        # Drawn apart, so that the other faults of a seed stay the same.
+        self._reset_rng = random.Random(f"resets {seed}")
         self._log = event_rows.EventRows()
         self.fleet = memory_fleet.MemoryFleet(
             directory=directory,
@@ -123,6 +130,9 @@
         self.fleet.start_all()
         self.fleet.clock.advance(_START_WAIT_S)
         self._schedule_next(self.fleet.clock.monotonic() + _FAULTS_S)
+        for _ in range(_RESETS):
+            at = self._reset_rng.uniform(0.0, _FAULTS_S)
+            self.fleet.clock.call_later(at, self._reset_answers)
         self._run_load(_FAULTS_S + _QUIET_S)
         return list(self._violations(self._run_load(_JUDGED_S)))
 
@@ -274,6 +284,29 @@
         self.fleet.clock.call_later(seconds, leaf.limit_rate, None)
         return f"leaf {leaf.id} limits its rate to {rate} for {seconds:.1f} s"
 
+    def _reset_answers(self) -> None:
+        """Let leaves reset a share of their answers; none of them ends."""
+        rng = self._reset_rng
+        leaves = [
+            each.leaf
+            for each in self.fleet.leaf_by_id.values()
+            if each.stays and rng.random() < _RESET_LEAVES_SHARE
+        ]
+        share = rng.uniform(*_RESET_ANSWERS_RANGE)
+        seconds = rng.uniform(*_RESET_RANGE_S)
+
+        def set_share(value: float) -> None:
+            for leaf in leaves:
+                leaf.faults.lose_share = value
+
+        set_share(share)
+        self.fleet.clock.call_later(seconds, set_share, 0.0)
+        at = self.fleet.clock.monotonic() - self._started_at
+        self.applied.append(
+            f"{at:6.2f} {len(leaves)} leaves reset {share:.2f} of their "
+            f"answers for {seconds:.1f} s"
+        )
+
     def _leaves_crash(self) -> str:
         staying = [
             leaf_id
