--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -273,13 +273,10 @@
         )
 
     def _has_attempts_left(self) -> bool:
-        return self._attempts.has_left(unsent_count=self._unsent_count())
-
-    def _unsent_count(self) -> int:
-        """Return the number of calls that wait for a connection."""
-        return sum(
+        unsent = sum(
             1 for _, call in self._call_by_leaf.values() if not call.sent_at
         )
+        return self._attempts.has_left(unsent_count=unsent)
 
     def _pop_pool(self, call: replicas.LeafCall) -> replicas.LeafPool:
         for leaf_id, (pool, leaf_call) in self._call_by_leaf.items():
