--- a/review/1/case.py
+++ b/review/1/case.py
@@ -23,14 +23,14 @@
     """Play the case; return its verdict."""
     port = s.free_port()
     store = s.Store()
-    await s.serve("127.71.0.1", port, store.handle)
+    await s.serve(f"{s.NET}.0.1", port, store.handle)
     asyncio.ensure_future(store.expire_leases())
     leaves = []
     for k in range(8):
         leaf = s.Leaf(
             leaf_id=f"i-{k}",
             service="reservations",
-            host=f"127.71.2.{k + 1}",
+            host=f"{s.NET}.2.{k + 1}",
             port=port,
             zone=ZONES[k % 4],
             slots=4,
@@ -64,9 +64,9 @@
             s.Machine(
                 name=f"frontend-{zone}-1",
                 zone=zone,
-                host=f"127.71.1.{k + 1}",
+                host=f"{s.NET}.1.{k + 1}",
                 port=port,
-                store=f"127.71.0.1:{port}",
+                store=f"{s.NET}.0.1:{port}",
                 folder=folder,
                 record=record,
                 settings={
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,14 +24,14 @@
     """Play the case; return its verdict."""
     port = s.free_port()
     store = s.Store()
-    await s.serve("127.71.0.1", port, store.handle)
+    await s.serve(f"{s.NET}.0.1", port, store.handle)
     asyncio.ensure_future(store.expire_leases())
     leaves = []
     for k in range(20):
         leaf = s.Leaf(
             leaf_id=f"i-{k}",
             service="records-room",
-            host=f"127.71.2.{k + 1}",
+            host=f"{s.NET}.2.{k + 1}",
             port=port,
             zone="hn-hoankiem",
             slots=2,
@@ -60,9 +60,9 @@
             s.Machine(
                 name=f"frontend-hn-hoankiem-{k + 1}",
                 zone="hn-hoankiem",
-                host=f"127.71.1.{k + 1}",
+                host=f"{s.NET}.1.{k + 1}",
                 port=port,
-                store=f"127.71.0.1:{port}",
+                store=f"{s.NET}.0.1:{port}",
                 folder=folder,
                 record=record,
                 settings={},
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -21,6 +21,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 now = time.monotonic
+# Part of the loopback range, so that two cases may run at the same time.
+NET = f"127.{random.randrange(64, 250)}"
 
 
 def free_port() -> int:
@@ -29,7 +31,7 @@
         port = random.randrange(20_000, 30_000)
         sockets = []
         try:
-            for host in ("127.71.0.1", "127.71.1.1", "127.71.2.1"):
+            for host in (f"{NET}.0.1", f"{NET}.1.1", f"{NET}.2.1"):
                 each = socket.socket()
                 sockets.append(each)
                 each.bind((host, port))
@@ -136,7 +138,7 @@
         self.events: list[dict] = []
         self.leases: dict[int, list] = {}
         self._next_lease = 100
-        self._changed = asyncio.Condition()
+        self._changed = asyncio.Event()
         # A hook: receives each transaction of a caller, returns what to do.
         self.on_txn = None
         # Whether waiting watches hear nothing.
@@ -172,8 +174,8 @@
         await self._notify()
 
     async def _notify(self) -> None:
-        async with self._changed:
-            self._changed.notify_all()
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     async def compact(self) -> None:
         """Forget the history; waiting watches are cut."""
@@ -292,9 +294,8 @@
             left = end - now()
             if events or left <= 0 or peer.gone:
                 return 200, {"events": events, "at": self.revision}
-            async with self._changed:
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self._changed.wait(), min(left, 0.5))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), min(left, 0.5))
 
 
 class Leaf:
@@ -660,6 +661,19 @@
     }
 
 
+def gather_route(
+    name: str, prefix: str, shards: list[str], **fields: object
+) -> dict:
+    """Return a route over many shards."""
+    row = route(
+        name,
+        prefix,
+        gather=shards,
+        **{"top-k": 50, "min-coverage": 0.89, "target-latency-ms": 250},
+    )
+    return row | fields
+
+
 def config(
     version: int, routes: list[dict], services: list[str], **more
 ) -> bytes:
