--- a/review/1/case.py
+++ b/review/1/case.py
@@ -165,7 +165,8 @@
         count = sum(request_id in mine for _, _, request_id in wrong)
         print(f"{machine.name}: {count} requests into the evacuated zone")
     print(
-        f"{len(answers)} requests, {served} served; of {judged} judged, EVAC {len(wrong)}"
+        f"{len(answers)} requests, {served} served; "
+        f"of {judged} judged, EVAC {len(wrong)}"
     )
     if served < 0.5 * len(answers) or not judged:
         return 2
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -143,6 +143,9 @@
         self.on_txn = None
         # Whether waiting watches hear nothing.
         self.deaf = False
+        # Whether the store is down: nothing is answered, nothing is done.
+        self.silent = False
+        self._beats: dict[str, float] = {}
         # Revision below which the history is gone; watches before it are cut.
         self.first_revision = 0
         self._cuts = 0
@@ -192,6 +195,25 @@
                 if end < now():
                     await self._end_lease(lease)
 
+    async def beat(self, key: str, value: bytes) -> None:
+        """Take a leaf's heartbeat: only a missing entry is a change."""
+        if self.silent:
+            return
+        self._beats[key] = now()
+        if key not in self.items:
+            await self.put(key, value)
+
+    async def expire_entries(self, silence_s: float, record) -> None:
+        """Remove the entries of leaves that have been silent, for ever."""
+        while True:
+            await asyncio.sleep(0.005)
+            if self.silent:
+                continue
+            for key, at in list(self._beats.items()):
+                if now() - at > silence_s and key in self.items:
+                    record(f"STORE  {key} removed after its silence")
+                    await self.delete(key)
+
     async def _end_lease(self, lease: int) -> None:
         self.leases.pop(lease, None)
         for key, item in list(self.items.items()):
@@ -221,6 +243,8 @@
     async def handle(self, request: Request, peer: Peer) -> bytes | None:
         """Answer one call."""
         await asyncio.sleep(0.004)
+        if self.silent:
+            return await self._never(peer)
         status, row = await self._dispatch(request, peer)
         if status == 0:
             return None
@@ -230,6 +254,11 @@
             json.dumps(row).encode(),
         )
 
+    async def _never(self, peer: Peer) -> None:
+        """Answer nothing on this connection any more."""
+        while not peer.gone:
+            await asyncio.sleep(0.1)
+
     async def _dispatch(self, request: Request, peer: Peer) -> tuple[int, dict]:
         from urllib.parse import parse_qsl, urlsplit
 
@@ -292,6 +321,12 @@
             if self.deaf:
                 events = []
             left = end - now()
+            if self.silent:
+                if left <= 0 or peer.gone:
+                    await self._never(peer)
+                    return 0, {}
+                await asyncio.sleep(0.005)
+                continue
             if events or left <= 0 or peer.gone:
                 return 200, {"events": events, "at": self.revision}
             with contextlib.suppress(TimeoutError):
@@ -334,6 +369,17 @@
 
     async def register(self, store: Store, state: str = "ready") -> None:
         """Write the entry."""
+        await store.put(f"servers/{self.id}", self.entry(state))
+
+    async def beat(self, store: Store, interval_s: float) -> None:
+        """Write a heartbeat again and again."""
+        await asyncio.sleep(random.uniform(0.0, interval_s))
+        while True:
+            await store.beat(f"servers/{self.id}", self.entry("ready"))
+            await asyncio.sleep(interval_s)
+
+    def entry(self, state: str) -> bytes:
+        """Return the entry."""
         entry = {
             "service": self.service,
             "address": self.address,
@@ -343,9 +389,9 @@
             "state": state,
             "warmup-left-ms": 0,
             "sequence": 1,
-            "born": 1_700_000_000_000,
+            "born": 1_700_000_000_000 + getattr(self, "born", 0),
         }
-        await store.put(f"servers/{self.id}", json.dumps(entry).encode())
+        return json.dumps(entry).encode()
 
     def _headers(self, request: Request) -> dict[str, str]:
         headers = {
