--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,13 +14,13 @@
 GAP_S = 0.1  # Between the configurations of a storm.
 BUSY_S = 4.0
 STEADY_S = 15.0
-OLD = [f"quote-maker-{k}" for k in range(15)]
+OLD = [f"quote-maker-{k}" for k in range(25)]
 NEW = [f"planner-desk-{k}" for k in range(10)]
 
 
 def work_of(service: str):
     """Return the work of a service's leafs: shards differ in size."""
-    mean_s = 0.085 + 0.002 * (OLD.index(service) if service in OLD else 0)
+    mean_s = 0.085 + 0.0012 * (OLD.index(service) if service in OLD else 0)
     return lambda request: mean_s * random.uniform(0.8, 1.2)
 
 
@@ -97,7 +97,7 @@
     answers: list[tuple[str, s.Answer]] = []
     number = 0
 
-    async def one(machine: s.Machine, name: str, deadline_ms: int) -> None:
+    async def one(machine: s.Machine, name: str, deadline_ms: int) -> s.Answer:
         nonlocal number
         number += 1
         answer = await s.ask(
@@ -108,12 +108,16 @@
             record=record,
         )
         answers.append((name, answer))
+        return answer
 
     # Many users at once: each machine has some clients that send their next
     # request when they have the answer.
     async def client(machine: s.Machine, end: float) -> None:
         while s.now() < end:
-            await one(machine, "later", 1200)
+            answer = await one(machine, "later", 1200)
+            if answer.status != 200:
+                wait = answer.header("retry-after")
+                await asyncio.sleep(float(wait) if wait else 0.3)
 
     end = s.now() + BUSY_S
     busy = [
