LOST: a stopping VM answers all that it takes, and refuses early what cannot end

Cause: the stop had an end, but neither the admission nor the requests in flight knew of it. ForwardEngine.draining was read by the relay handler only, and the daemon stopped the reactor 0.6 s before the end with requests in flight. Ruled out: kept connections (each answer after the signal closes its connection).

Change: tier/graceful_stop.py holds the steps of a stop, used by the daemon and by the simulated fleet. forward/stopping.py, pure, refuses before any leaf what is not likely to end in time, with 503, a time to return and a closed connection. What is in flight 0.6 s before the end is answered then through Exchange.on_expire: as not run if nothing was sent, else as unknown. A relaying VM tells the gatherer, which knows the route, when it ends. A new connection has 0.3 s for its first request, and the process goes on while callers connect.

--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -8,7 +8,7 @@
 import pathlib
 import random
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from twisted.internet import error, protocol
@@ -27,6 +27,7 @@
 )
 from trefoilpier import base, fleet, forward, http1
 from trefoilpier import platform as platform_adapter
+from trefoilpier.tier import graceful_stop
 from trefoilpier.tier import vm as tier_vm
 
 STORE_ADDRESS = ("10.255.0.1", 90)
@@ -274,6 +275,7 @@
     __slots__ = (
         "_clock",
         "_cut_by_network",
+        "_boot",
         "_process_clock",
         "_policy",
         "_process_net",
@@ -321,6 +323,7 @@
         self.name = name
         self.host = host
         self.process: tier_vm.TierVm | None = None
+        self._boot: platform_adapter.BootSettings
         self.starts = 0
         settings.write_text(
             published_protocol.settings_text(
@@ -349,8 +352,9 @@
         )
         for network, cut in self._cut_by_network.items():
             self._process_net.cut(network, cut)
+        self._boot = platform_adapter.read_boot(str(self._settings)).ok
         self.process = tier_vm.TierVm(
-            boot=platform_adapter.read_boot(str(self._settings)).ok,
+            boot=self._boot,
             clock=self._process_clock,
             log=_ProcessLog(log=self._log, vm=self.name, start=self.starts),
             reactor=self._process_net,
@@ -380,6 +384,19 @@
             self._net.listen(self.host, port, server)
         self.process.start(record)
 
+    def terminate(self) -> None:
+        """Stop the process gracefully; it ends within the grace period."""
+        if self.process is None:
+            return
+        graceful_stop.GracefulStop(
+            clock=self._process_clock,
+            log=_ProcessLog(log=self._log, vm=self.name, start=self.starts),
+            vm=self.process,
+            servers=list(self._servers.values()),
+            grace_s=self._boot.grace_s,
+            on_end=self.kill,
+        ).begin()
+
     def cut_from_leaves(self, cut: LeafCut | None) -> None:
         """Cut the VM off from all leaves, or end that with None."""
         self._cut(_LEAF_NETWORK, cut)
@@ -418,6 +435,8 @@
         took_s: Seconds until the answer.
         status: Its status; 0 for none.
         missing: Shards that it states as missing.
+        id: Id of the request.
+        headers: Headers of the answer.
     """
 
     vm: str
@@ -426,6 +445,8 @@
     took_s: float
     status: int
     missing: int = 0
+    id: bytes = b""
+    headers: http1.Headers = field(default_factory=list)
 
     @property
     def whole(self) -> bool:
@@ -839,8 +860,8 @@
         method: bytes = b"GET",
         vm: MemoryVm | None = None,
         headers: http1.Headers | None = None,
-    ) -> None:
-        """Send a caller's request.
+    ) -> bytes:
+        """Send a caller's request; return its id.
 
         Args:
             target: Target of the request. With `crashing_target` it crashes
@@ -858,14 +879,16 @@
             port=CALLER_PORT,
         )
         sent_at = self.clock.monotonic()
+        request_id = b"%016x" % self._next_request
 
         def record(
             outcome: http1.ResponseReceived | http1.RequestFailed,
         ) -> None:
             client.close()
-            status, missing = 0, 0
+            status, missing, answer_headers = 0, 0, []
             if isinstance(outcome, http1.ResponseReceived):
                 status = outcome.response.status
+                answer_headers = outcome.response.headers
                 missing = opaque_caller.missing_shards(outcome.response)
             self.answers.append(
                 FleetAnswer(
@@ -875,6 +898,8 @@
                     took_s=self.clock.monotonic() - sent_at,
                     status=status,
                     missing=missing,
+                    id=request_id,
+                    headers=answer_headers,
                 )
             )
 
@@ -883,10 +908,9 @@
             target,
             headers=[
                 (b"host", b"soak.example"),
-                *opaque_caller.attempt_headers(
-                    b"%016x" % self._next_request, _DEADLINE_S
-                ),
+                *opaque_caller.attempt_headers(request_id, _DEADLINE_S),
                 *(headers or ()),
             ],
             timeout_s=_DEADLINE_S + _ANSWER_MARGIN_S,
         ).addCallback(record)
+        return request_id
--- a/trefoilpier/fleet/relay.py
+++ b/trefoilpier/fleet/relay.py
@@ -5,6 +5,8 @@
 first one reports that it has not run the request.
 """
 
+from collections.abc import Callable
+
 from trefoilpier import accounts, forward, http1, routes
 from trefoilpier.fleet import directory
 
@@ -12,12 +14,16 @@
 _VERSION_HEADER = b"trefoilpier-version"
 _BEHIND_HEADER = b"trefoilpier-behind"
 _NETWORK_TIME_HEADER = b"trefoilpier-network-us"
+# Milliseconds until the relaying VM, which stops, ends what is in flight.
+_ENDS_HEADER = b"trefoilpier-ends-ms"
 _STATUS_MISDIRECTED = 421
 # Time reserved for the return of a response that the gatherer sends at its
 # deadline.
 _RESPONSE_MARGIN_S = 0.004
 _DEFAULT_TIMEOUT_S = 60.0  # For requests without a deadline.
-_RELAY_HEADERS = frozenset((_MIN_VERSION_HEADER, _NETWORK_TIME_HEADER))
+_RELAY_HEADERS = frozenset(
+    (_MIN_VERSION_HEADER, _NETWORK_TIME_HEADER, _ENDS_HEADER)
+)
 
 _ROUTE = routes.Route(
     name="relay",
@@ -64,9 +70,11 @@
     Attributes:
         min_version: Minimum version of the routes at a gatherer; one with
             older routes refuses the request.
+        get_ends_in_s: Returns the seconds until this VM, which stops, ends
+            what is in flight; None unless it stops.
     """
 
-    __slots__ = ("_wire", "min_version")
+    __slots__ = ("_wire", "get_ends_in_s", "min_version")
 
     def __init__(self, *, wire: forward.LeafWire) -> None:
         """Wrap the protocol that callers and leaves use.
@@ -76,6 +84,7 @@
         """
         self._wire = wire
         self.min_version = 0
+        self.get_ends_in_s: Callable[[], float] | None = None
 
     @property
     def id_header(self) -> bytes:
@@ -110,9 +119,12 @@
     ) -> bytes:
         """Encode the request to a gatherer."""
         # The version at the time of sending, which may follow a wait.
-        version_header = (_MIN_VERSION_HEADER, b"%d" % self.min_version)
+        headers = [(_MIN_VERSION_HEADER, b"%d" % self.min_version)]
+        if self.get_ends_in_s is not None:
+            ends_ms = max(0, int(1000 * self.get_ends_in_s()))
+            headers.append((_ENDS_HEADER, b"%d" % ends_ms))
         return self._wire.encode(
-            template.extended([version_header]),
+            template.extended(headers),
             leaf_id=leaf_id,
             wait_s=max(0.001, wait_s - _RESPONSE_MARGIN_S),
         )
@@ -166,13 +178,18 @@
         self._engine = engine
         self.request = wrapped.request
         self.received_at = wrapped.received_at
-        self.on_disconnect = None
+        self.on_disconnect = self.on_expire = None
         wrapped.on_disconnect = self._on_caller_disconnect
+        wrapped.on_expire = self._on_expire
 
     def _on_caller_disconnect(self) -> None:
         if self.on_disconnect is not None:
             self.on_disconnect()
 
+    def _on_expire(self) -> None:
+        if self.on_expire is not None:
+            self.on_expire()
+
     def respond(self, response: http1.HttpResponse) -> None:
         table = self._engine.table
         version = table.version if table is not None else 0
@@ -209,6 +226,9 @@
         network_us = http1.find_header(headers, _NETWORK_TIME_HEADER) or b""
         if network_us.isdigit():
             exchange.request.network_s += int(network_us) / 1e6
+        ends_ms = http1.find_header(headers, _ENDS_HEADER) or b""
+        if ends_ms.isdigit():
+            exchange.request.sender_ends_in_s = int(ends_ms) / 1000
         exchange.request.headers = [
             header for header in headers if header[0] not in _RELAY_HEADERS
         ]
--- a/trefoilpier/forward/__init__.py
+++ b/trefoilpier/forward/__init__.py
@@ -5,6 +5,7 @@
 from trefoilpier.forward.histogram import BOUNDS_S, LatencyHistogram
 from trefoilpier.forward.policy import ForwardPolicy
 from trefoilpier.forward.quota import QuotaDecision, QuotaGate
+from trefoilpier.forward.stopping import StopTimes
 from trefoilpier.forward.wire import LeafAnswer, LeafWire, RequestMetadata
 
 __all__ = [
@@ -19,4 +20,5 @@
     "QuotaDecision",
     "QuotaGate",
     "RetryBudget",
+    "StopTimes",
 ]
--- a/trefoilpier/forward/admission.py
+++ b/trefoilpier/forward/admission.py
@@ -58,6 +58,21 @@
     retry_after_s: float
 
 
+def expected_s(state: AdmissionState) -> float | None:
+    """Return the expected response time in seconds.
+
+    The response has enough coverage once the required number of the fastest
+    services have answered. None means that too few services are usable.
+    """
+    required = state.min_coverage * len(state.services) - 1e-9
+    expected = sorted(
+        service.expected_s for service in state.services if service.usable
+    )
+    if not expected or len(expected) < required:
+        return None
+    return expected[max(0, min(len(expected), int(required + 1)) - 1)]
+
+
 def admit(state: AdmissionState) -> Refusal | None:
     """Return a refusal, or None if the request is admitted.
 
@@ -78,18 +93,13 @@
     ... )
     Refusal(code=<ResultCode.OVERLOADED: 'TPR-3001'>, retry_after_s=0.45)
     """
-    required = state.min_coverage * len(state.services) - 1e-9
-    usable = [service for service in state.services if service.usable]
-    if not usable or len(usable) < required:
+    response_s = expected_s(state)
+    if response_s is None:
         return Refusal(
             code=base.ResultCode.NO_LEAF,
             retry_after_s=retry_after(state.time_left_s),
         )
-    expected = sorted(service.expected_s for service in usable)
-    # The response has enough coverage once the required number of the fastest
-    # services have answered.
-    index = max(0, min(len(expected), int(required + 1)) - 1)
-    excess_s = expected[index] - state.time_left_s
+    excess_s = response_s - state.time_left_s
     if excess_s <= 0:
         return None
     return Refusal(
--- a/trefoilpier/forward/decision_wait.py
+++ b/trefoilpier/forward/decision_wait.py
@@ -57,6 +57,7 @@
     def start(self) -> None:
         """Begin to wait."""
         self._exchange.on_disconnect = self._stop
+        self._exchange.on_expire = self._end
         self._timer = self._clock.call_later(_WAIT_MAX_S, self._end)
         self._early.wait(self._fingerprint, self._end)
 
@@ -67,7 +68,7 @@
         self._timer.cancel()
         self._timer = None
         self._early.stop_waiting(self._fingerprint, self._end)
-        self._exchange.on_disconnect = None
+        self._exchange.on_disconnect = self._exchange.on_expire = None
         self._on_end()
         return True
 
--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -29,6 +29,7 @@
     service_state,
     shared_states,
     single_run,
+    stopping,
     wait_queue,
 )
 from trefoilpier.forward import wire as wires
@@ -47,7 +48,6 @@
         accounts_confirmed: Returns whether the accounts are known to be
             current.
         in_flight: Admitted requests without a response.
-        draining: Whether the VM is shutting down.
         quota_gate: Admission by the quotas of accounts; None for no quotas.
         route_read_failed: Returns whether the last attempt to read the routes
             failed.
@@ -58,14 +58,15 @@
     """
 
     __slots__ = (
+        "_decides_end",
         "_log",
         "_response_sizes",
         "_states",
+        "_stop_times",
         "_table",
         "account_usage",
         "accounts_confirmed",
         "count_by_outcome",
-        "draining",
         "histogram",
         "in_flight",
         "quota_gate",
@@ -91,7 +92,8 @@
         self.wire = wire
         self.chooser = chooser
         self._table: routes.RouteTable | None = None
-        self.draining = False
+        self._stop_times: stopping.StopTimes | None = None
+        self._decides_end = True
         self.in_flight = 0
         self.count_by_outcome: dict[base.ResultCode, int] = {}
         self.histogram = histogram.LatencyHistogram()
@@ -120,6 +122,24 @@
         if previous is not None and table is not None:
             self._states.drop_unused(previous, table)
 
+    @property
+    def draining(self) -> bool:
+        """Whether the VM is shutting down."""
+        return self._stop_times is not None
+
+    def begin_stop(
+        self, times: stopping.StopTimes, *, decides: bool = True
+    ) -> None:
+        """Refuse from now on what may not end before the VM does.
+
+        Args:
+            times: Times of the stop.
+            decides: Whether this VM estimates how long requests take; else
+                the VM does to which they are relayed.
+        """
+        self._stop_times = times
+        self._decides_end = decides
+
     def budget_for(self, service: str) -> budget.RetryBudget:
         """Return the budget of retries and hedges of a service."""
         return self._states.budget_for(service)
@@ -400,19 +420,61 @@
         context: request_context.RequestContext,
         services: tuple[str, ...],
     ) -> admission.Refusal | None:
-        if not self.policy.admission:
+        now = self.clock.monotonic()
+        time_to_end_s = self._time_to_end_s(context.request, now)
+        if not self.policy.admission and time_to_end_s == float("inf"):
             return None
         state = service_state.estimate_admission_state(
             context,
             services,
             registry=self.registry,
             states=self._states,
-            now=self.clock.monotonic(),
+            now=now,
         )
+        refusal = self._admit_while_stopping(
+            context, state, now=now, time_to_end_s=time_to_end_s
+        )
+        if refusal is not None or not self.policy.admission:
+            return refusal
         if context.route.gather is not None and self.policy.shard_selection:
             context.shard_states = state.services
         return admission.admit(state)
 
+    def _time_to_end_s(self, request: http1.HttpRequest, now: float) -> float:
+        """Return seconds until this or the relaying VM ends its requests."""
+        if self._stop_times is None:
+            return request.sender_ends_in_s
+        return min(request.sender_ends_in_s, self._stop_times.answer_by - now)
+
+    def _admit_while_stopping(
+        self,
+        context: request_context.RequestContext,
+        state: admission.AdmissionState,
+        *,
+        now: float,
+        time_to_end_s: float,
+    ) -> admission.Refusal | None:
+        """Refuse a request that may not end before the VM does."""
+        if time_to_end_s == float("inf"):
+            return None
+        expected_s = admission.expected_s(state) or 0.0
+        excess_s = stopping.allowed_excess_s(
+            self.latency_for(context.route),
+            repeatable=context.route.repeatable,
+        )
+        return stopping.admit(
+            stopping.StoppingState(
+                expected_s=expected_s if self._decides_end else 0.0,
+                excess_s=excess_s if self._decides_end else 0.0,
+                time_left_s=state.time_left_s,
+                time_to_end_s=time_to_end_s,
+                in_rotation=(
+                    self._stop_times is not None
+                    and now < self._stop_times.leaves_rotation_at
+                ),
+            )
+        )
+
     def _refuse(
         self,
         exchange: http1.Exchange,
--- a/trefoilpier/forward/gather_run.py
+++ b/trefoilpier/forward/gather_run.py
@@ -84,6 +84,7 @@
             clock.call_later(respond_by - now, self._handle_deadline),
         ]
         self._exchange.on_disconnect = self._handle_caller_disconnect
+        self._exchange.on_expire = self._handle_deadline
         for service in self._gather.services:
             call = service_call.ServiceCall(
                 env=self._env,
--- a/trefoilpier/forward/quota_wait.py
+++ b/trefoilpier/forward/quota_wait.py
@@ -79,10 +79,11 @@
             max(0.0, time_left_s - _RESPONSE_MARGIN_S), self._handle_deadline
         )
         self._exchange.on_disconnect = self._handle_caller_disconnect
+        self._exchange.on_expire = self._handle_deadline
 
     def _end(self) -> None:
         self._done = True
-        self._exchange.on_disconnect = None
+        self._exchange.on_disconnect = self._exchange.on_expire = None
         if self._timer is not None:
             self._timer.cancel()
 
--- a/trefoilpier/forward/single_run.py
+++ b/trefoilpier/forward/single_run.py
@@ -57,6 +57,7 @@
             time_left_s - _RESPONSE_MARGIN_S, self._handle_deadline
         )
         self._exchange.on_disconnect = self._handle_caller_disconnect
+        self._exchange.on_expire = self._handle_expiry
         self._call.start()
 
     def _handle_result(
@@ -101,6 +102,12 @@
             "no response before the deadline",
         )
 
+    def _handle_expiry(self) -> None:
+        """Respond since the VM ends."""
+        ran = self._call.run_state()
+        self._call.cancel_calls()
+        self._fail(ran, "the VM stops")
+
     def _finish(
         self,
         code: base.ResultCode,
--- a/trefoilpier/http1/message.py
+++ b/trefoilpier/http1/message.py
@@ -42,6 +42,8 @@
         link_s_per_byte: Seconds for which each byte of the response occupies
             the VM's network link; 0 if not known.
         link_s: Estimated seconds for which the response occupies it.
+        sender_ends_in_s: Seconds after its arrival at which the VM that
+            relays it ends what is in flight; infinite unless that VM stops.
     """
 
     method: bytes
@@ -52,6 +54,7 @@
     network_s: float = 0.0
     link_s_per_byte: float = 0.0
     link_s: float = 0.0
+    sender_ends_in_s: float = float("inf")
 
 
 @dataclass(slots=True, kw_only=True)
--- a/trefoilpier/http1/server.py
+++ b/trefoilpier/http1/server.py
@@ -51,9 +51,16 @@
         received_at: Monotonic time at which the request was passed to the
             handler, in seconds.
         on_disconnect: Called once on a disconnect before the response.
+        on_expire: Called if the VM ends before the response; responds at once.
     """
 
-    __slots__ = ("_connection", "on_disconnect", "received_at", "request")
+    __slots__ = (
+        "_connection",
+        "on_disconnect",
+        "on_expire",
+        "received_at",
+        "request",
+    )
 
     def __init__(
         self,
@@ -66,6 +73,7 @@
         self.request = request
         self.received_at = received_at
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_expire: Callable[[], None] | None = None
 
     @property
     def connection(self) -> "ServerConnection":
@@ -272,7 +280,7 @@
         if exchange is not self._current_exchange:
             return
         self._current_exchange = None
-        exchange.on_disconnect = None
+        exchange.on_disconnect = exchange.on_expire = None
         close = not exchange.request.keep_alive or (
             self._factory.closing and not self._queued_requests
         )
@@ -306,9 +314,23 @@
         if waited_s > max(self._idle_limit_s, limits.idle_timeout_s):
             self.close_if_idle()
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request has begun on it."""
+    def expire_request(self) -> None:
+        """Let the request in progress be answered at once."""
+        current = self._current_exchange
+        if current is not None and current.on_expire is not None:
+            current.on_expire()
+
+    def close_if_idle(self, min_idle_s: float = 0.0) -> None:
+        """Close the connection unless a request has begun on it.
+
+        Args:
+            min_idle_s: Seconds for which it must have been idle, so that a
+                new connection has time for its first request.
+        """
+        idle_s = self._factory.clock.monotonic() - self._wait_started_at
         idle = self._current_exchange is None and not self._queued_requests
+        if idle_s < min_idle_s:
+            return
         if idle and not self._in_request and not self._header_bytes:
             self._closing = True
             self.transport.loseConnection()
@@ -372,6 +394,7 @@
         connections: The open connections.
         limits: Limits for callers; may be replaced at any time.
         closing: Whether each connection closes after its pending responses.
+        last_accepted_at: Monotonic time of the last new connection.
         link_s_per_byte: Seconds for which a byte of a response occupies the
             VM's network link; 0 if not known.
     """
@@ -391,11 +414,13 @@
         self.handler = handler
         self.limits = limits
         self.closing = False
+        self.last_accepted_at = 0.0
         self.connections: set[ServerConnection] = set()
         self._sweep_timer: base.Timer | None = None
 
     def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802
         """Build the protocol of an accepted connection."""
+        self.last_accepted_at = self.clock.monotonic()
         return ServerConnection(factory=self)
 
     def startFactory(self) -> None:  # noqa: N802
@@ -417,7 +442,16 @@
             _TIMEOUT_SWEEP_PERIOD_S, self._sweep_timeouts
         )
 
-    def close_idle(self) -> None:
-        """Close every connection on which no request has begun."""
+    def close_idle(self, min_idle_s: float = 0.0) -> None:
+        """Close every connection on which no request has begun.
+
+        Args:
+            min_idle_s: Seconds for which it must have been idle.
+        """
+        for connection in list(self.connections):
+            connection.close_if_idle(min_idle_s)
+
+    def expire_requests(self) -> None:
+        """Let all requests in progress be answered at once."""
         for connection in list(self.connections):
-            connection.close_if_idle()
+            connection.expire_request()
--- a/trefoilpier/http1/tests/test_server.py
+++ b/trefoilpier/http1/tests/test_server.py
@@ -219,6 +219,22 @@
     assert client.closed
 
 
+def test_new_connection_stays_open_while_idle_ones_are_closed():
+    # Guards against the close of a connection whose first request is on its
+    # way to a VM that stops.
+    harness = ServerHarness()
+    kept_open = harness.connect()
+    harness.clock.advance(1.0)
+    new = harness.connect()
+    harness.clock.advance(0.1)
+    harness.server.close_idle(0.3)
+    harness.clock.advance(0.1)
+    assert kept_open.closed
+    assert not new.closed
+    harness.send(new, GET_REQUEST)
+    assert new.statuses() == [200]
+
+
 def test_expect_continue_gets_100_before_body():
     harness = ServerHarness()
     client = harness.connect()
--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -14,6 +14,7 @@
 from trefoilpier import base, fleet, forward, http1, platform
 from trefoilpier.tier import (
     account_pages,
+    graceful_stop,
     lazy_modules,
     line_log,
     metrics,
@@ -28,18 +29,21 @@
 _POLICY_VARIABLE = "TREFOILPIER_POLICY"
 _LISTEN_BACKLOG = 512  # Connections waiting to be accepted after a stall.
 _METRICS_PORT = 9464  # Also named in the deploy file.
-# The balancer polls once a second and removes a VM after two failed polls.
-_BALANCER_DETECTION_S = 2.6
-_STOP_MARGIN_S = 0.6  # Part of the grace period kept for the last writes.
-# Between two checks for idle connections during the shutdown.
-_CLOSE_IDLE_PAUSE_S = 0.05
 _READY_CHECK_PAUSE_S = 0.1  # Precision of the time of the READY event.
 
 
 class TierDaemon:
     """Process that serves callers, other VMs, the balancer and scrapes."""
 
-    __slots__ = ("_boot", "_clock", "_log", "_metrics", "_servers", "_vm")
+    __slots__ = (
+        "_boot",
+        "_clock",
+        "_graceful_stop",
+        "_log",
+        "_metrics",
+        "_servers",
+        "_vm",
+    )
 
     def __init__(
         self,
@@ -62,6 +66,14 @@
             policy=policy,
             rng=random.Random(),
         )
+        self._graceful_stop = graceful_stop.GracefulStop(
+            clock=self._clock,
+            log=self._log,
+            vm=self._vm,
+            servers=self._servers,
+            grace_s=boot.grace_s,
+            on_end=self._exit,
+        )
         self._metrics = metrics.TierMetrics(
             engine_by_role=self._vm.engine_by_role,
             gauges={
@@ -192,7 +204,7 @@
         signal.signal(signal.SIGHUP, self._on_hangup_signal)
 
     def _on_stop_signal(self, number: int, frame: Any) -> None:
-        reactor.callFromThread(self._stop)
+        reactor.callFromThread(self._graceful_stop.begin)
 
     def _on_hangup_signal(self, number: int, frame: Any) -> None:
         reactor.callFromThread(self._reload)
@@ -205,27 +217,6 @@
             return
         self._log.emit(base.Event.SETTINGS_READ, node=read.ok.node_id)
 
-    def _stop(self) -> None:
-        """Begin the graceful shutdown."""
-        if self._vm.stopping:
-            return
-        self._vm.stop()
-        for server in self._servers:
-            server.closing = True
-        self._log.emit(base.Event.DRAIN_STARTED, in_flight=self._vm.in_flight)
-        self._clock.call_later(_BALANCER_DETECTION_S, self._close_idle)
-        self._clock.call_later(self._boot.grace_s - _STOP_MARGIN_S, self._exit)
-
-    def _close_idle(self) -> None:
-        """Close idle connections until none is left, then exit."""
-        for server in self._servers:
-            server.close_idle()
-        connected = any(server.connections for server in self._servers)
-        if self._vm.in_flight or connected:
-            self._clock.call_later(_CLOSE_IDLE_PAUSE_S, self._close_idle)
-            return
-        self._exit()
-
     def _exit(self) -> None:
         if not reactor.running:
             return
--- a/trefoilpier/tier/dispatcher.py
+++ b/trefoilpier/tier/dispatcher.py
@@ -37,6 +37,12 @@
         self.watch = watch
         self.version = 0
 
+    def begin_stop(self, times: forward.StopTimes) -> None:
+        """Tell gatherers from now on when this VM ends."""
+        clock = self.engine.clock
+        self._wire.get_ends_in_s = lambda: times.answer_by - clock.monotonic()
+        self.engine.begin_stop(times, decides=False)
+
     def update_version(self, version: int) -> None:
         """Update the version of the routes from a gatherer's report."""
         if version <= self.version:
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -457,10 +457,12 @@
             for service in table.used_services
         )
 
-    def stop(self) -> None:
+    def stop(self, times: forward.StopTimes) -> None:
         """Begin the graceful shutdown and notify the other VMs."""
         self.stopping = True
-        self._engine.draining = True
+        self._engine.begin_stop(times)
+        self._relay.begin_stop(times)
+        self._detour.begin_stop(times)
         if self._shared_limits is not None:
             self._shared_limits.stop()
         self.state_handler.notify_waiting()
