EVAC: a VM's position in the store is raised only after its content

Cause: a complete read and the items of a peer raised the revision up to which a VM says it knows the store before they were applied. Applying the routes wakes the polls of the peers, who saw "known up to R, no evacuation" and took theirs for ended; the good report that followed was no news any more. Evidence: the test of the position saw revision R with no leaf applied, and without a configuration in the same read all VMs keep the evacuation.

Change: StoreSync.position is one immutable value that only _publish raises, at the end of each of the three paths. The evacuations' merged position and the tag of a peer's items are noted after they are applied, too. The stand-ins' store can be deaf before it drops its history, as the platform's.

--- a/standins/platform_model.py
+++ b/standins/platform_model.py
@@ -21,6 +21,7 @@
             take effect.
         stale_reads: Whether reads return the values before the last write.
         member_lag_s: Age in seconds of the membership list that is served.
+        deaf: Whether waiting watches hear of no changes.
     """
 
     down: bool = False
@@ -29,6 +30,7 @@
     lose_writes: int = 0
     stale_reads: bool = False
     member_lag_s: float = 0.0
+    deaf: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -170,7 +172,7 @@
             StoredChange(key=key, revision=self.revision, stored=stored)
         )
         for watch in list(self._watches):
-            if key.startswith(watch.prefix):
+            if key.startswith(watch.prefix) and not self.faults.deaf:
                 self._complete_watch(watch)
 
     def compact_history(self) -> None:
@@ -178,6 +180,21 @@
         self._compacted_revision = self.revision
         self._changes.clear()
 
+    def compact_after_deafness(self, seconds: float) -> None:
+        """Let watches hear of no changes for a time, then drop these changes.
+
+        Watches that wait are told then that the history is gone.
+        """
+        self.faults.deaf = True
+
+        def end() -> None:
+            self.faults.deaf = False
+            self.compact_history()
+            for watch in list(self._watches):
+                self._complete_watch(watch)
+
+        self._clock.call_later(seconds, end)
+
     def copy(self) -> StoreCopy:
         """Return a copy to restore later."""
         return StoreCopy(
@@ -243,13 +260,18 @@
             reply: Callback; called at once if the history is compacted.
         """
         self.counts.watches += 1
-        if self.changes(prefix, after) != []:
+        if self.changes(prefix, after) != [] and not self.faults.deaf:
             reply()
             return
         watch = _Watch(prefix=prefix, after=after, reply=reply)
         self._watches.append(watch)
         self.counts.watches_waiting += 1
-        self._clock.call_later(wait, self._complete_watch, watch)
+        self._clock.call_later(wait, self._end_wait, watch)
+
+    def _end_wait(self, watch: _Watch) -> None:
+        """Reply to a watch without a change, unless watches are deaf."""
+        if not self.faults.deaf:
+            self._complete_watch(watch)
 
     def watch(
         self,
--- a/trefoilpier/tier/evacuation_sync.py
+++ b/trefoilpier/tier/evacuation_sync.py
@@ -174,10 +174,6 @@
         same_era = era is None or era == position.era
         known_here = self._known_revision() if same_era else 0
         known_there = report["revision"] if same_era else 0
-        if same_era:
-            self._merged = store_items.StorePosition(
-                era=position.era, revision=max(known_here, known_there)
-            )
         zones = {
             zone: revision
             for zone, revision in self._revision_by_zone.items()
@@ -188,7 +184,13 @@
         for zone, revision in report["zones"].items():
             if revision > known_here and not zones.get(zone):
                 zones[zone] = revision
-        return self._replace(zones)
+        changed = self._replace(zones)
+        if same_era:
+            # Only now, as this VM's own reports state it.
+            self._merged = store_items.StorePosition(
+                era=position.era, revision=max(known_here, known_there)
+            )
+        return changed
 
     def add_missing_items(self, items: list[store.Item]) -> list[store.Item]:
         """Return the items for a peer, with evacuations that they lack."""
--- a/trefoilpier/tier/peer_sync.py
+++ b/trefoilpier/tier/peer_sync.py
@@ -117,13 +117,13 @@
             # Applied, it would remove every leaf.
             self._reject(record, "snapshot is empty or malformed")
             return
-        self._applied_tag_by_peer = {record.id: tag}
         self._store_sync.apply_peer_items(
             items,
             era=state.era,
             complete=state.current,
             revision=state.store_revision,
         )
+        self._applied_tag_by_peer = {record.id: tag}
         self._log.emit(
             base.Event.TAKEN_FROM_PEER,
             peer=record.id,
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -31,12 +31,11 @@
     """Local copy of the store's items, kept up to date by watches.
 
     Attributes:
-        era: Era of the store in which the items were read; None if unknown.
         last_call_failed: Whether the last call to the store failed.
         loaded: Whether all items have been read, from the store or a peer.
         loaded_at: Monotonic time in seconds of the first complete read.
         loaded_from_store: Whether all items have been read from the store.
-        revision: Revision in that era up to which all changes are known.
+        position: Up to where this VM has applied the store's changes.
     """
 
     __slots__ = (
@@ -61,12 +60,11 @@
         "_table",
         "_table_value",
         "_watch_timeout_s",
-        "era",
         "last_call_failed",
         "loaded",
         "loaded_at",
         "loaded_from_store",
-        "revision",
+        "position",
     )
 
     def __init__(
@@ -117,8 +115,7 @@
         self._decoder = item_decoder.ItemDecoder(log=log)
         self._started = False
         self._items_by_key: dict[str, store.Item] = {}
-        self.era: int | None = None
-        self.revision = 0
+        self.position = store_items.StorePosition()
         self._revision_era: int | None = None
         self.last_call_failed = False
         self._outage_reported = False
@@ -172,9 +169,9 @@
             return 0
         self._revision_era = snapshot.era
         self._update_era(snapshot.era)
-        self.revision = max(self.revision, snapshot.revision)
         self._items_by_key = {item.key: item for item in snapshot.items}
         self._apply_items(from_peer=False, revision=snapshot.revision)
+        self._publish(snapshot.revision)
         self.loaded_from_store = True
         self._mark_loaded()
         self._on_confirmed(asked_at)
@@ -182,10 +179,15 @@
 
     def _update_era(self, era: int | None) -> None:
         """Note the era of new items; a higher one follows a restore."""
-        previous, self.era = self.era, era
-        if previous is None or era == previous:
+        previous = self.era
+        if era == previous:
+            return
+        known_revision = self.revision if previous is None else 0
+        self.position = store_items.StorePosition(
+            era=era, revision=known_revision
+        )
+        if previous is None:
             return
-        self.revision = 0
         self._log.emit(
             base.Event.STORE_RESTORED,
             era_before=previous,
@@ -236,6 +238,16 @@
                 revision=revision,
             )
         self._registry.replace_all(leaves, from_peer=from_peer)
+
+    def _publish(self, revision: int) -> None:
+        """Note that all changes up to a revision have been applied.
+
+        Only this method raises the position: peers take what a VM does not
+        have below its position for ended.
+        """
+        self.position = store_items.StorePosition(
+            era=self.era, revision=max(self.revision, revision)
+        )
         self._on_members()
 
     def apply_peer_items(
@@ -267,12 +279,11 @@
             self._update_era(era)
         # The peer has seen at least the newest change among them.
         revision = max([revision, *(item.revision for item in items)])
-        if complete:
-            self.revision = max(self.revision, revision)
         self._items_by_key = {item.key: item for item in items}
         self._apply_items(
             from_peer=True, revision=revision if complete else None
         )
+        self._publish(revision if complete else 0)
         self._mark_loaded()
 
     def is_later_era_than(self, era: int | None) -> bool:
@@ -280,9 +291,14 @@
         return self.position.is_later_era_than(era)
 
     @property
-    def position(self) -> store_items.StorePosition:
-        """Up to where this VM knows the store."""
-        return store_items.StorePosition(era=self.era, revision=self.revision)
+    def era(self) -> int | None:
+        """Era of the store in which the items were read; None if unknown."""
+        return self.position.era
+
+    @property
+    def revision(self) -> int:
+        """Revision in that era up to which all changes are known."""
+        return self.position.revision
 
     @property
     def current(self) -> bool:
@@ -366,9 +382,7 @@
                 if not entries:
                     removed_leaf_ids.append(leaf_id)
         self._registry.remove_leaves(removed_leaf_ids)
-        # Only now, since peers take what is missing below it for ended.
-        self.revision = max(self.revision, revision)
-        self._on_members()
+        self._publish(revision)
 
     def _apply_routes(self, item: store.Item) -> None:
         # Decoding takes some 15 microseconds an account, and each snapshot of
--- a/trefoilpier/tier/tests/test_evacuated_zones.py
+++ b/trefoilpier/tier/tests/test_evacuated_zones.py
@@ -110,6 +110,27 @@
     assert share(answers) >= 0.99
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_evacuation_read_with_a_configuration_is_forgotten(tmp_path, seed):
+    # Guards against a VM that tells its peers up to which revision it has read
+    # the store before it has applied what it read: they took the evacuation,
+    # which it did not report yet, for ended, and made it forget it in turn.
+    fleet = make_fleet(tmp_path, large=4, seed=seed)
+    # VMs tell of evacuations only once there has been one.
+    fleet.operator.evacuate("z1")
+    run(fleet, 2.0)
+    fleet.operator.take_back("z1")
+    run(fleet, 2.0)
+    fleet.model.compact_after_deafness(1.0)
+    run(fleet, 0.3)
+    fleet.write_routes()
+    fleet.operator.evacuate("z1")
+    run(fleet, 8.0)
+    evacuated = {vm.process.gauges["zones_evacuated"]() for vm in fleet.vms}
+    assert evacuated == {1}
+    assert violations(fleet, 2.0) == []
+
+
 def test_evacuation_of_all_leaves_counts_as_a_lost_path(tmp_path):
     fleet = make_fleet(tmp_path)
     for zone in ("z0", "z1", "z2"):
--- a/trefoilpier/tier/tests/test_store_sync.py
+++ b/trefoilpier/tier/tests/test_store_sync.py
@@ -122,6 +122,14 @@
             on_members=lambda: None,
         )
 
+    def record_positions(self):
+        """Record revision and leaves at each notification while applying."""
+        seen = []
+        self.sync._on_routes = lambda table: seen.append(
+            (self.sync.revision, self.leaf_ids())
+        )
+        return seen
+
     def leaf_ids(self):
         return sorted(
             pool.entry.id
@@ -143,6 +151,30 @@
     return new_harness
 
 
+@pytest.mark.parametrize("path", ["read", "watch", "peer"])
+def test_revision_is_published_before_its_content(harness, path):
+    # Guards against a position that peers are told while only the routes of
+    # that revision have been applied.
+    seen = harness.record_positions()
+    if path == "read":
+        harness.sync.start()
+        assert seen == [(0, [])]
+        assert harness.sync.revision == harness.store.revision
+    elif path == "peer":
+        items = list(harness.store.items.values())
+        harness.sync.apply_peer_items(items, era=1, revision=99)
+        assert seen == [(0, [])]
+        assert harness.sync.revision == 99
+    else:
+        harness.sync.start()
+        before = harness.store.revision
+        harness.store.put(platform.ROUTES_KEY, ROUTES % 7)
+        harness.store.put("servers/e", leaf_value())
+        harness.store.complete_watch(platform.ROUTES_KEY, "servers/e")
+        assert seen[1] == (before, ["a", "b", "c", "d"])
+        assert harness.sync.revision == before + 2
+
+
 def test_older_version_is_ignored(harness):
     harness.sync.start()
     harness.store.put(platform.ROUTES_KEY, ROUTES % 7)
