EVAC: a watch that missed changes raises no position and is sent again

Cause: a watch that ends while the store is deaf to changes names the newest revision without the changes up to it. The VM took that for its position, told its peers "17, no evacuation" and went on after it; half a second later the read after the cut brought the evacuation, and each VM took it for ended by the others' reports.

Change: the position and the next watch begin at the last change that was applied.

--- a/standins/platform_model.py
+++ b/standins/platform_model.py
@@ -183,7 +183,8 @@
     def compact_after_deafness(self, seconds: float) -> None:
         """Let watches hear of no changes for a time, then drop these changes.
 
-        Watches that wait are told then that the history is gone.
+        Watches that end meanwhile report the newest revision without changes.
+        Those that wait then are told that the history is gone.
         """
         self.faults.deaf = True
 
@@ -242,6 +243,8 @@
         """
         if not self._compacted_revision <= after <= self.revision:
             return None
+        if self.faults.deaf:
+            return []
         return [
             change
             for change in self._changes
@@ -260,18 +263,13 @@
             reply: Callback; called at once if the history is compacted.
         """
         self.counts.watches += 1
-        if self.changes(prefix, after) != [] and not self.faults.deaf:
+        if self.changes(prefix, after) != []:
             reply()
             return
         watch = _Watch(prefix=prefix, after=after, reply=reply)
         self._watches.append(watch)
         self.counts.watches_waiting += 1
-        self._clock.call_later(wait, self._end_wait, watch)
-
-    def _end_wait(self, watch: _Watch) -> None:
-        """Reply to a watch without a change, unless watches are deaf."""
-        if not self.faults.deaf:
-            self._complete_watch(watch)
+        self._clock.call_later(wait, self._complete_watch, watch)
 
     def watch(
         self,
--- a/trefoilpier/base/events.py
+++ b/trefoilpier/base/events.py
@@ -61,6 +61,7 @@
     TAKEN_FROM_PEER = ("TPE-4008", "INFO", "entries taken from a peer")
     STORE_RESTORED = ("TPE-4009", "WARNING", "store restored from a copy")
     ACCOUNTS_CONFIRMED = ("TPE-4010", "WARNING", "accounts confirmed or not")
+    CHANGES_MISSED = ("TPE-4011", "WARNING", "changes of the store missed")
     NODE_JOINED = ("TPE-5001", "INFO", "node joined")
     NODE_SUSPECTED = ("TPE-5002", "WARNING", "node suspected")
     NODE_DEAD = ("TPE-5003", "WARNING", "node dead")
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -350,11 +350,23 @@
         if seen.ok.history_gone:
             self._failed_since_load = True
             return 0
-        self._apply_changes(seen.ok.changes, seen.ok.revision)
+        # The watch covers all keys, so that changes are missing if the store is
+        # ahead of the last one: they are asked for again, or are known to be
+        # gone then.
+        applied = max([revision, *(each.revision for each in seen.ok.changes)])
+        self._apply_changes(seen.ok.changes, applied)
+        if applied < seen.ok.revision:
+            self._log.emit(
+                base.Event.CHANGES_MISSED,
+                applied=applied,
+                revision=seen.ok.revision,
+            )
+            await self._sleep(_RETRY_PAUSE_MIN_S)
+            return applied
         self._on_confirmed(self._clock.monotonic())
         if seen.ok.changes:
             await self._sleep(_CHANGE_BATCH_PAUSE_S)
-        return seen.ok.revision
+        return applied
 
     def _apply_changes(
         self, changes: list[store.Change], revision: int
--- a/trefoilpier/tier/tests/test_evacuated_zones.py
+++ b/trefoilpier/tier/tests/test_evacuated_zones.py
@@ -111,16 +111,21 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_evacuation_read_with_a_configuration_is_forgotten(tmp_path, seed):
-    # Guards against a VM that tells its peers up to which revision it has read
-    # the store before it has applied what it read: they took the evacuation,
-    # which it did not report yet, for ended, and made it forget it in turn.
+@pytest.mark.parametrize("watches_end", [False, True])
+def test_evacuation_read_with_a_configuration_is_forgotten(
+    tmp_path, seed, watches_end
+):
+    # Guards against a VM that tells its peers a revision of the store whose
+    # changes it has not applied, since it has not come to them yet, or since a
+    # watch that ended while it was deaf has named it: they took the
+    # evacuation, which it did not report, for ended.
     fleet = make_fleet(tmp_path, large=4, seed=seed)
     # VMs tell of evacuations only once there has been one.
     fleet.operator.evacuate("z1")
     run(fleet, 2.0)
     fleet.operator.take_back("z1")
-    run(fleet, 2.0)
+    # Watches last 4 s and begin 0.5 s after a change.
+    run(fleet, 3.8 if watches_end else 2.0)
     fleet.model.compact_after_deafness(1.0)
     run(fleet, 0.3)
     fleet.write_routes()
--- a/trefoilpier/tier/tests/test_shared_limits.py
+++ b/trefoilpier/tier/tests/test_shared_limits.py
@@ -97,7 +97,7 @@
     load = QuotaLoad(tmp_path)
     load.run(3.0, (40, 40, 40, 40))
     for vm in load.fleet.vms[:2]:
-        vm.process.stop()
+        vm.terminate()
         load.fleet.clock.call_later(3.0, vm.kill)
     load.run(10.0, (40, 40, 40, 40))
     assert load.most_in_window() <= ALLOWED
--- a/trefoilpier/tier/tests/test_store_sync.py
+++ b/trefoilpier/tier/tests/test_store_sync.py
@@ -175,6 +175,25 @@
         assert harness.sync.revision == before + 2
 
 
+def test_watch_that_missed_changes_raises_the_revision(harness):
+    # Guards against a watch that ended while the store was deaf: it named the
+    # newest revision without the changes up to it.
+    confirmed = []
+    harness.sync.start()
+    harness.sync._on_confirmed = confirmed.append
+    before = harness.store.revision
+    harness.store.put(platform.ROUTES_KEY, ROUTES % 7)
+    harness.store.complete_watch()
+    harness.clock.advance(0.2)
+    assert harness.sync.revision == before
+    assert confirmed == []
+    assert harness.store.watches[-1][0] == before
+    harness.store.complete_watch(platform.ROUTES_KEY)
+    assert harness.sync.revision == before + 1
+    assert harness.versions == [3, 7]
+    assert confirmed
+
+
 def test_older_version_is_ignored(harness):
     harness.sync.start()
     harness.store.put(platform.ROUTES_KEY, ROUTES % 7)
