--- a/trefoilpier/tier/tests/test_store_sync.py
+++ b/trefoilpier/tier/tests/test_store_sync.py
@@ -70,6 +70,26 @@
             )
         )
 
+    def complete_batch(self, *writes, first_revision=None):
+        """Complete the newest watch with changes in the given order.
+
+        A value of None deletes the key.
+        """
+        revision = self.revision if first_revision is None else first_revision
+        changes = []
+        for key, value in writes:
+            revision += 1
+            item = None
+            if value is not None:
+                item = store.Item(key=key, value=value, revision=revision)
+            changes.append(store.Change(key=key, revision=revision, item=item))
+        self.revision = max(self.revision, revision)
+        self.watches.pop()[2].callback(
+            expression.Ok(
+                store.Changes(changes=changes, revision=self.revision)
+            )
+        )
+
     def fail_watch(self):
         self.watches.pop()[2].callback(unavailable_error())
 
@@ -275,6 +295,48 @@
     assert harness.leaf_ids() == []
 
 
+def test_leaf_that_registers_again_within_a_batch_is_forgotten(harness):
+    # Guards against removals that are applied after all writes of a batch: the
+    # entry of a live leaf expires in an outage, and the leaf writes it again
+    # some milliseconds after its removal.
+    harness.sync.start()
+    harness.store.complete_batch(
+        ("servers/a", None), ("servers/a", leaf_value())
+    )
+    harness.clock.advance(10.0)
+    assert harness.leaf_ids() == ["a", "b", "c", "d"]
+
+
+def test_leaf_whose_entry_was_unreadable_within_a_batch_is_forgotten(harness):
+    # Guards against the same order where another writer wrote the entry.
+    harness.sync.start()
+    harness.store.complete_batch(
+        ("servers/a", b"{"), ("servers/a", leaf_value())
+    )
+    harness.clock.advance(10.0)
+    assert harness.leaf_ids() == ["a", "b", "c", "d"]
+
+
+def test_leaf_that_leaves_after_a_write_of_the_same_batch_stays(harness):
+    # Guards against the opposite order, a write applied after the removal.
+    harness.sync.start()
+    harness.store.complete_batch(
+        ("servers/a", leaf_value(port=81)), ("servers/a", None)
+    )
+    assert harness.leaf_ids() == ["b", "c", "d"]
+
+
+def test_change_that_a_later_page_already_showed_is_applied(harness):
+    # Guards against a return to an older entry: the pages of a complete read
+    # are no snapshot, so the watch repeats changes that they already have.
+    harness.store.put("servers/a", leaf_value(state="draining"))
+    harness.sync.start()
+    harness.store.complete_batch(
+        ("servers/a", leaf_value()), first_revision=harness.store.revision - 2
+    )
+    assert harness.leaf_ids() == ["b", "c", "d"]
+
+
 def test_leaf_restarted_under_its_id_gets_new_pool(harness):
     harness.sync.start()
     before = harness.registry.pool_by_id["a"]
