DRAIN: grace periods of removed leaves have an end of their own

Cause: a quarter of all leaves removed at once counts as an outage that the VM missed, and leaves that had announced their departure counted, too; the second such removal then moved the end of every grace period that ran. Evidence: without the drained leaves the leaf is removed at once; with unannounced ones a leaf of the first removal was used until 2.2 s after the second.

Change: announced departures do not count. replicas/registration_grace.py keeps an end for each leaf, which only another outage moves; the old code let live leaves of a first outage expire during the second one.

--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -14,12 +14,17 @@
 
 from trefoilpier import base, http1
 from trefoilpier.replicas import call as calls
-from trefoilpier.replicas import departures, ends, evacuation, pool, warm_up
+from trefoilpier.replicas import (
+    departures,
+    ends,
+    evacuation,
+    pool,
+    registration_grace,
+    warm_up,
+)
 from trefoilpier.replicas import entry as entries
 from trefoilpier.replicas import policy as policies
 
-# Live leaves register again within about 2 s after the store recovers.
-_REREGISTRATION_GRACE_S = 2.2
 # So many entries disappear at once only if they expired during an outage.
 _MASS_EXPIRY_COUNT = 4
 _MASS_EXPIRY_SHARE = 0.25
@@ -51,8 +56,7 @@
         "_departures",
         "_end_observer",
         "_health_request_by_service",
-        "_grace_until",
-        "_grace_until_by_id",
+        "_grace",
         "_id_header",
         "_log",
         "_on_capacity",
@@ -119,8 +123,9 @@
         self._connections_max_by_service: dict[str, int] = {}
         self._health_request_by_service: dict[str, bytes] = {}
         self._vm_count = _ASSUMED_VM_COUNT
-        self._grace_until = 0.0
-        self._grace_until_by_id: dict[str, float] = {}
+        self._grace = registration_grace.RegistrationGrace(
+            clock=clock, on_expired=self._remove_expired
+        )
         self._departures = departures.Departures(clock=clock)
         self._buffers = http1.BufferBudget(limit_bytes=_BUFFERED_MAX_BYTES)
         self._announcements = departures.Announcements(clock=clock)
@@ -193,14 +198,11 @@
 
     def handle_store_loss(self) -> None:
         """Handle the loss of the store."""
-        self._grace_until = float("inf")
+        self._grace.handle_store_loss()
 
     def handle_store_recovery(self) -> None:
         """Handle the recovery of the store after an outage."""
-        self._grace_until = self._clock.monotonic() + _REREGISTRATION_GRACE_S
-        for leaf_id in self._grace_until_by_id:
-            self._grace_until_by_id[leaf_id] = self._grace_until
-        self._clock.call_later(_REREGISTRATION_GRACE_S, self._remove_expired)
+        self._grace.handle_store_recovery()
 
     def handle_store_restore(self) -> None:
         """Handle a restore of the store, before its items are applied.
@@ -217,24 +219,8 @@
         """Monotonic time until which `replace_all` ignores some entries."""
         return self._departures.distrust_until
 
-    def _start_grace(self, leaf_id: str, until: float) -> None:
-        """Keep a leaf whose entry is missing for a grace period."""
-        self._grace_until_by_id.setdefault(leaf_id, until)
-        if until < float("inf"):
-            delay_s = until - self._clock.monotonic()
-            self._clock.call_later(delay_s, self._remove_expired)
-
-    def _remove_expired(self) -> None:
-        """Remove the leaves that did not register within the grace period."""
-        now = self._clock.monotonic()
-        expired = [
-            leaf_id
-            for leaf_id, until in self._grace_until_by_id.items()
-            if until <= now
-        ]
-        for leaf_id in expired:
-            del self._grace_until_by_id[leaf_id]
-            self._remove(leaf_id, "not registered again after a store outage")
+    def _remove_expired(self, leaf_id: str) -> None:
+        self._remove(leaf_id, "not registered again after a store outage")
 
     def replace_all(
         self, listed: Iterable[entries.LeafEntry], *, from_peer: bool = False
@@ -252,15 +238,13 @@
                 self.put(entry)
         for leaf_id in set(self.pool_by_id) - set(by_id):
             if from_peer:
-                self._start_grace(
-                    leaf_id, self._clock.monotonic() + _REREGISTRATION_GRACE_S
-                )
+                self._grace.hold_listed_elsewhere(leaf_id)
             else:
                 self.remove_leaf(leaf_id)
 
     def put(self, entry: entries.LeafEntry) -> None:
         """Add or update a leaf."""
-        self._grace_until_by_id.pop(entry.id, None)
+        self._grace.release(entry.id)
         if self._announcements.has_announced(entry):
             entry = dataclasses.replace(entry, phase=entries.LeafPhase.LEAVING)
         current = self.pool_by_id.get(entry.id)
@@ -312,8 +296,8 @@
         """Handle the removal of a leaf's entry."""
         if leaf_id not in self.pool_by_id:
             return
-        if self._clock.monotonic() < self._grace_until:
-            self._start_grace(leaf_id, self._grace_until)
+        if self._grace.in_force:
+            self._grace.hold(leaf_id)
             return
         self._remove(leaf_id, "entry removed from the store")
 
@@ -321,15 +305,19 @@
         """Handle entries that were removed at the same time.
 
         Many at once indicate that they expired during an outage of the store
-        that this VM did not notice.
+        that this VM did not notice, unless the leaves had announced that they
+        leave.
         """
-        known_ids = [
-            leaf_id for leaf_id in leaf_ids if leaf_id in self.pool_by_id
-        ]
-        share = len(known_ids) / max(1, len(self.pool_by_id))
-        if len(known_ids) >= _MASS_EXPIRY_COUNT and share >= _MASS_EXPIRY_SHARE:
+        staying_ids = {
+            leaf_id
+            for leaf_id, leaf_pool in self.pool_by_id.items()
+            if not leaf_pool.leaving
+        }
+        count = sum(leaf_id in staying_ids for leaf_id in leaf_ids)
+        share = count / max(1, len(staying_ids))
+        if count >= _MASS_EXPIRY_COUNT and share >= _MASS_EXPIRY_SHARE:
             self.handle_store_recovery()
-        for leaf_id in known_ids:
+        for leaf_id in leaf_ids:
             self.remove_leaf(leaf_id)
 
     def _add(self, entry: entries.LeafEntry) -> None:
@@ -392,6 +380,7 @@
         if removed is None:
             return
         self.generation += 1
+        self._grace.release(leaf_id)
         self._departures.record(removed.entry)
         self._usable.remove(removed)
         removed.end_detector.record_removed(
--- a/trefoilpier/tier/tests/test_store_sync.py
+++ b/trefoilpier/tier/tests/test_store_sync.py
@@ -337,6 +337,70 @@
     assert harness.leaf_ids() == ["b", "c", "d"]
 
 
+def start_with_old_index(harness):
+    """Start with four leaves that stay and ten that drain."""
+    for number in range(10):
+        harness.store.put(f"servers/old{number}", leaf_value("t"))
+    harness.sync.start()
+    for number in range(10):
+        harness.store.put(f"servers/old{number}", leaf_value("t", "draining"))
+    old = [f"servers/old{number}" for number in range(10)]
+    harness.store.complete_watch(*old)
+    harness.clock.advance(1.0)
+    assert harness.leaf_ids() == ["a", "b", "c", "d"]
+    return old
+
+
+def test_leaf_is_used_after_its_removal_while_an_old_index_leaves(harness):
+    # Guards against planned departures that count as an outage of the store:
+    # each leaf that was removed beside them was used for 2.2 s more.
+    old = start_with_old_index(harness)
+    harness.store.complete_watch(deleted=old[:5])
+    harness.clock.advance(0.6)
+    harness.store.complete_watch(deleted=["servers/a"])
+    assert harness.leaf_ids() == ["b", "c", "d"]
+
+
+def test_removal_of_many_leaves_extends_earlier_grace_periods(harness):
+    # Guards against one time for all grace periods: a leaf that had gone was
+    # used until 4 s after its removal.
+    for number in range(10):
+        harness.store.put(f"servers/more{number}", leaf_value("t"))
+    more = [f"servers/more{number}" for number in range(10)]
+    harness.sync.start()
+    harness.store.complete_watch(deleted=["servers/a", *more[:5]])
+    assert "a" in harness.leaf_ids()
+    harness.clock.advance(2.0)
+    harness.store.complete_watch(deleted=more[5:])
+    harness.clock.advance(0.21)
+    assert "a" not in harness.leaf_ids()
+    assert "more7" in harness.leaf_ids()
+    harness.clock.advance(2.0)
+    assert harness.leaf_ids() == ["b", "c", "d"]
+
+
+def test_second_outage_ends_the_grace_period_of_the_first(harness):
+    # Guards against live leaves that are forgotten since the store was down
+    # again while they were to register.
+    harness.sync.start()
+    harness.store.up = False
+    harness.store.fail_watch()
+    harness.clock.advance(2.0)
+    expired_item = harness.store.items.pop("servers/a")
+    harness.store.up = True
+    harness.clock.advance(1.5)
+    harness.store.up = False
+    harness.store.fail_watch()
+    harness.clock.advance(5.0)
+    assert harness.leaf_ids() == ["a", "b", "c", "d"]
+    harness.store.up = True
+    harness.clock.advance(1.5)
+    harness.store.items["servers/a"] = expired_item
+    harness.store.complete_watch("servers/a")
+    harness.clock.advance(5.0)
+    assert harness.leaf_ids() == ["a", "b", "c", "d"]
+
+
 def test_leaf_restarted_under_its_id_gets_new_pool(harness):
     harness.sync.start()
     before = harness.registry.pool_by_id["a"]
