CONFIG: a waiting call leaves the queue that it has entered

Cause: two versions in one batch dropped a service's queue while calls waited in it. They left a new queue at their deadline, whose count became -1, and the expected wait divides by count + 1 in each admission.

Change: a queue counts the calls that it holds, a call keeps its queue, and queues with calls and budgets with a window are dropped only once they are unused. Same cause: calls of a dropped queue were never started, and a dropped budget came back with its whole allowance. The test of dropped state expected the budget to go at once; it now expects it to stay for its window and to go then.

--- a/trefoilpier/forward/budget.py
+++ b/trefoilpier/forward/budget.py
@@ -71,12 +71,20 @@
         self._request_count = 0.0
         self._extra_count = 0.0
 
-    def _current_bucket(self) -> list[float]:
-        now = self._clock.monotonic()
+    def _drop_old_buckets(self, now: float) -> None:
         while self._buckets and self._buckets[0][0] < now - self._window_s:
             _, requests, extra = self._buckets.popleft()
             self._request_count -= requests
             self._extra_count -= extra
+
+    def is_unused(self) -> bool:
+        """Return whether a new budget would allow the same."""
+        self._drop_old_buckets(self._clock.monotonic())
+        return not self._buckets
+
+    def _current_bucket(self) -> list[float]:
+        now = self._clock.monotonic()
+        self._drop_old_buckets(now)
         if not self._buckets or self._buckets[-1][0] < now:
             self._buckets.append([now + _BUCKET_WIDTH_S, 0.0, 0.0])
         return self._buckets[-1]
--- a/trefoilpier/forward/service_call.py
+++ b/trefoilpier/forward/service_call.py
@@ -44,7 +44,7 @@
         "_hedge_timer",
         "_leaves",
         "_on_done",
-        "_queued",
+        "_queue",
         "_reason",
         "_service",
         "hedge_outcome",
@@ -84,7 +84,8 @@
         self._hedge_timer = timer
         self._hedge_scheduled = False
         self._done = False
-        self._queued = False
+        # The queue that the call waits in, if it does.
+        self._queue: wait_queue.WaitQueue | None = None
         self._reason = ""
         self.hedge_outcome = hedging.HedgeOutcome.NOT_DUE
         self.ran = base.Ran.NO
@@ -112,7 +113,7 @@
     @property
     def queued(self) -> bool:
         """Whether the call waits for a leaf with free capacity."""
-        return self._queued
+        return self._queue is not None
 
     def try_start(self) -> bool:
         """Send the request if a leaf has free capacity.
@@ -155,9 +156,9 @@
         return time_left_s < median_latency_s
 
     def _leave_queue(self) -> None:
-        if self._queued:
-            self._queued = False
-            self._env.queue_for(self._service).mark_removed()
+        queue, self._queue = self._queue, None
+        if queue is not None:
+            queue.remove(self)
 
     def _send_or_enqueue(self) -> None:
         """Send to the best leaf, or queue until one has free capacity."""
@@ -177,8 +178,8 @@
         if self._env.clock.monotonic() + wait_s >= self._context.deadline:
             self._finish_failed("no leaf takes a request before the deadline")
             return
-        self._queued = True
-        self._env.queue_for(self._service).enqueue(
+        self._queue = self._env.queue_for(self._service)
+        self._queue.enqueue(
             self,
             priority=self._context.priority,
             objective_deadline=self._context.objective_deadline,
@@ -187,7 +188,7 @@
 
     def _resume_sending(self) -> None:
         """Send the request after it was decided whether it crashes leaves."""
-        if not self._done and not self._call_by_leaf and not self._queued:
+        if not self._done and not self._call_by_leaf and not self.queued:
             self._send_or_enqueue()
 
     def _send(self, pool: replicas.LeafPool) -> None:
@@ -245,7 +246,7 @@
         leaf_useful = chosen is not None or not useless
         obstacle = hedging.obstacle(
             hedging.HedgeState(
-                in_flight=bool(self._call_by_leaf) and not self._queued,
+                in_flight=bool(self._call_by_leaf) and not self.queued,
                 attempt_left=self._has_attempts_left(),
                 other_usable=self._leaves.shortest_wait_s(tried) is not None,
                 leaf_free=chosen is not None or not leaf_useful,
--- a/trefoilpier/forward/shared_states.py
+++ b/trefoilpier/forward/shared_states.py
@@ -118,15 +118,20 @@
     ) -> None:
         """Drop the state of services and routes in neither version.
 
-        State of the previous version is kept for requests in flight.
+        State of the previous version is kept for requests in flight. So are
+        queues in which calls wait, and budgets that a window still counts:
+        versions may follow each other within a batch, and name a service again.
         """
         services = previous.used_services | current.used_services
         route_names = {
             route.name for route in (*previous.routes, *current.routes)
         }
-        for by_service in (self.budget_by_service, self.queue_by_service):
-            for service in set(by_service) - services:
-                del by_service[service]
+        for service in set(self.queue_by_service) - services:
+            if not self.queue_by_service[service].count:
+                del self.queue_by_service[service]
+        for service in set(self.budget_by_service) - services:
+            if self.budget_by_service[service].is_unused():
+                del self.budget_by_service[service]
         for by_route in (self.latency_by_route, self._split_by_route):
             for name in set(by_route) - route_names:
                 del by_route[name]
--- a/trefoilpier/forward/tests/test_gathering.py
+++ b/trefoilpier/forward/tests/test_gathering.py
@@ -161,8 +161,13 @@
     tier.set_routes(other)
     assert "shard0" in tier.engine._states.budget_by_service
     tier.set_routes(other)
-    assert "shard0" not in tier.engine._states.budget_by_service
     assert "r" not in tier.engine._states.latency_by_route
+    assert "shard0" not in tier.engine._states.queue_by_service
+    # A budget counts for its window, whatever the routes name meanwhile.
+    assert "shard0" in tier.engine._states.budget_by_service
+    tier.clock.advance(11.0)
+    tier.set_routes(other)
+    assert "shard0" not in tier.engine._states.budget_by_service
 
 
 def test_answer_at_the_objective_waits_on_a_narrow_link():
--- a/trefoilpier/forward/wait_queue.py
+++ b/trefoilpier/forward/wait_queue.py
@@ -18,11 +18,6 @@
 
     __slots__ = ()
 
-    @property
-    @abc.abstractmethod
-    def queued(self) -> bool:
-        """Whether the call still waits for a leaf."""
-
     @abc.abstractmethod
     def try_start(self) -> bool:
         """Start the call if a leaf has free capacity.
@@ -33,11 +28,7 @@
 
 
 class WaitQueue:
-    """Queued calls of one service, ordered by objective deadline.
-
-    Attributes:
-        count: Number of queued calls.
-    """
+    """Queued calls of one service, ordered by objective deadline."""
 
     __slots__ = (
         "_by_objective",
@@ -47,7 +38,7 @@
         "_last_dequeue_at",
         "_queue",
         "_sequence",
-        "count",
+        "_sequence_by_call",
     )
 
     def __init__(self, *, clock: base.Clock, by_objective: bool = True) -> None:
@@ -62,10 +53,16 @@
         self._by_objective = by_objective
         self._queue: list[tuple[float, int, QueuedCall]] = []
         self._sequence = itertools.count()
+        # The calls that wait; entries of others are left in the heap.
+        self._sequence_by_call: dict[QueuedCall, int] = {}
         self._dispatching = False
         self._dequeue_interval_s = _INITIAL_INTERVAL_S
         self._last_dequeue_at = 0.0
-        self.count = 0
+
+    @property
+    def count(self) -> int:
+        """Number of queued calls."""
+        return len(self._sequence_by_call)
 
     def enqueue(
         self, call: QueuedCall, *, priority: int, objective_deadline: float
@@ -85,12 +82,13 @@
             if self._by_objective
             else 0.0
         )
-        heapq.heappush(self._queue, (sort_key, next(self._sequence), call))
-        self.count += 1
+        sequence = next(self._sequence)
+        self._sequence_by_call[call] = sequence
+        heapq.heappush(self._queue, (sort_key, sequence, call))
 
-    def mark_removed(self) -> None:
-        """Count one call as no longer waiting."""
-        self.count -= 1
+    def remove(self, call: QueuedCall) -> None:
+        """Note that a call no longer waits; without effect if it did not."""
+        self._sequence_by_call.pop(call, None)
 
     @property
     def expected_wait_s(self) -> float:
@@ -113,12 +111,15 @@
         self._dispatching = True
         try:
             while self._queue:
-                call = self._queue[0][2]
-                if not call.queued:
+                _, sequence, call = self._queue[0]
+                if self._sequence_by_call.get(call) != sequence:
                     heapq.heappop(self._queue)
                     continue
                 if not call.try_start():
                     return
+                # It may have failed at once and wait again.
+                if self._sequence_by_call.get(call) == sequence:
+                    self.remove(call)
                 self._record_dequeue()
         finally:
             self._dispatching = False
