Timers take their time from the monotonic clock

Cause: Twisted sets its timers by the wall clock. A step forward lets timers run early, and guards such as "not yet" then returned without a new timer: the grace of a leaf, or of a kept evacuation, never ended. A step back lets them run late.

Change: the daemon's reactor uses the monotonic clock, and moves timers that were set before. So no wait has to check its own time.

--- a/trefoilpier/base/__init__.py
+++ b/trefoilpier/base/__init__.py
@@ -1,7 +1,13 @@
 """Clock, result codes, log events and hashing shared by all packages."""
 
 from trefoilpier.base.addresses import is_ipv4_address, is_port
-from trefoilpier.base.clock import Clock, ReactorClock, Timer, VirtualClock
+from trefoilpier.base.clock import (
+    Clock,
+    ReactorClock,
+    Timer,
+    VirtualClock,
+    use_monotonic_timers,
+)
 from trefoilpier.base.events import Event, EventLog, NullEventLog
 from trefoilpier.base.hashing import content_hash, rank_nodes, stable_hash
 from trefoilpier.base.log import (
@@ -30,4 +36,5 @@
     "observe_twisted",
     "rank_nodes",
     "stable_hash",
+    "use_monotonic_timers",
 ]
--- a/trefoilpier/base/clock.py
+++ b/trefoilpier/base/clock.py
@@ -81,6 +81,18 @@
         return _ReactorTimer(delayed_call=delayed_call)
 
 
+def use_monotonic_timers(reactor: Any) -> None:
+    """Let a reactor take the time of its timers from the monotonic clock.
+
+    Twisted takes it from the system's wall clock, whose steps let timers run
+    early or late by as much. Timers that have been set before are moved.
+    """
+    shift_s = time.monotonic() - reactor.seconds()
+    for delayed_call in reactor.getDelayedCalls():
+        delayed_call.time += shift_s
+    reactor.seconds = time.monotonic
+
+
 class _VirtualTimer(Timer):
     """A callback in the queue of a virtual clock."""
 
--- a/trefoilpier/tier/daemon.py
+++ b/trefoilpier/tier/daemon.py
@@ -52,6 +52,7 @@
         policy: forward.ForwardPolicy,
     ) -> None:
         self._boot = boot
+        base.use_monotonic_timers(reactor)
         self._clock = base.ReactorClock(reactor=reactor)
         self._log = line_log.LineLog(
             clock=self._clock, descriptor=sys.stdout.fileno()
