Load reports with infinite numbers and trailers of requests are ignored

Cause: a load header with nan or inf raised in the handling of the answer, so that the call was lost to its request; an unsafe request that had run was answered 503 at its deadline (REFUSED). Trailers of a chunked request were appended to the headers that had been checked, without a limit.

Change: load figures have a range; trailers are dropped.

Result: test_trailers_of_a_chunked_request_are_passed_on and the doctest of _parse_load fail without the change and pass with it.

--- a/trefoilpier/http1/server.py
+++ b/trefoilpier/http1/server.py
@@ -184,7 +184,12 @@
         self._target += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; trailers are ignored.
+
+        They could contradict headers that have been checked.
+        """
+        if not self._in_headers:
+            return
         self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
--- a/trefoilpier/http1/tests/test_server.py
+++ b/trefoilpier/http1/tests/test_server.py
@@ -108,6 +108,23 @@
     assert harness.handler.requests[0].body == b"abcde"
 
 
+def test_trailers_of_a_chunked_request_are_passed_on():
+    # Guards against headers that were not there when the request was checked.
+    harness = ServerHarness()
+    client = harness.connect()
+    harness.send(
+        client,
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n0\r\nHost: other\r\nX-Late: 1\r\n\r\n",
+    )
+    (request,) = harness.handler.requests
+    assert request.body == b"abc"
+    assert [name for name, _ in request.headers] == [
+        b"host",
+        b"transfer-encoding",
+    ]
+
+
 @pytest.mark.parametrize(
     ("data", "status"),
     [
--- a/trefoilpier/platform/headers.py
+++ b/trefoilpier/platform/headers.py
@@ -13,6 +13,7 @@
 _ACCOUNT_HEADER = b"x-tenant"
 _SEAL_HEADER = b"x-server-seal"
 _LOAD_HEADER = b"x-server-load"
+_LOAD_MAX = 1e9  # Larger figures can only be a mistake.
 _RATE_LIMIT_HEADER = b"server-limit"
 _LEAVING_HEADER = b"server-leaving"
 _REST_HEADER = b"retry-after"
@@ -192,6 +193,11 @@
 
     Its numbers are running requests, waiting requests, slots and, optionally,
     the slowness in percent.
+
+    >>> _parse_load(b"1,0,2").slots
+    2
+    >>> _parse_load(b"inf,0,2"), _parse_load(b"1,nan,2")
+    (None, None)
     """
     if value is None:
         return None
@@ -199,7 +205,8 @@
         numbers = [float(text) for text in value.split(b",")]
     except ValueError:
         return None
-    if len(numbers) < 3 or any(number < 0 for number in numbers):
+    # Infinity and NaN are not in the range either.
+    if len(numbers) < 3 or not all(0 <= each <= _LOAD_MAX for each in numbers):
         return None
     slowness = numbers[3] / 100 if len(numbers) > 3 else 1.0
     return replicas.LeafLoad(
