The fuzz draws the orders of events that once broke a guarantee

Cause: none of the five faults of the review could be drawn: no VM was stopped gracefully, no zone evacuated, no entry of a live leaf expired, leaves left one at a time, and routes never moved.

Change: lab/sequences.py draws such an order among the other faults and another one once the fleet has recovered, so that it is judged. What is new is checked: requests that ran and were cut or answered 503 around a stop, evacuations and registered leaves that a VM does not know. Stand-ins: a store that is deaf before it drops its history, entries that expire, routes that move, graceful stops.

Four planted faults are tests.

--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from lab import crashing, event_rows
+from lab import crashing, event_rows, sequences
 from standins import leaf_rules, memory_fleet
 from trefoilpier import base, fleet
 
@@ -48,6 +48,10 @@
 _REPLACED_S = 5.0
 _CRASH_SHARES = (0.05, 0.3, 1.0)  # Leaves that crash at the same time.
 _STABLE_S = 4.0
+# Orders of events of past incidents: one begins among the faults, one when the
+# fleet has recovered. They take up to 14 s.
+_SEQUENCE_FROM_RANGE_S = (0.0, 8.0)
+_CALM_SEQUENCE_S = 15.0
 _RESETS = 2  # Times in a run in which leaves reset answers and run on.
 _RESET_LEAVES_SHARE = 0.5
 _RESET_ANSWERS_RANGE = (0.05, 0.6)
@@ -83,8 +87,10 @@
         "_outages_by_vm",
         "_rng",
         "_reset_rng",
+        "_sequence_rng",
         "_crashing",
         "_cuts",
+        "_sequences",
         "_started_at",
         "_starts",
         "_store_trouble",
@@ -123,6 +129,13 @@
         self._outages_by_vm: dict[str, list[tuple[float, float]]] = (
             collections.defaultdict(list)
         )
+        self._sequence_rng = random.Random(f"sequences {seed}")
+        self._sequences = sequences.IncidentSequences(
+            fleet=self.fleet,
+            rng=self._sequence_rng,
+            is_judged=self._is_judged,
+            outages_by_vm=self._outages_by_vm,
+        )
         self.applied: list[str] = []
 
     def run(self) -> list[str]:
@@ -133,7 +146,11 @@
         for _ in range(_RESETS):
             at = self._reset_rng.uniform(0.0, _FAULTS_S)
             self.fleet.clock.call_later(at, self._reset_answers)
+        at = self._sequence_rng.uniform(*_SEQUENCE_FROM_RANGE_S)
+        self.fleet.clock.call_later(at, self._begin_sequence)
         self._run_load(_FAULTS_S + _QUIET_S)
+        self._begin_sequence()
+        self._run_load(_CALM_SEQUENCE_S)
         return list(self._violations(self._run_load(_JUDGED_S)))
 
     def _run_load(self, seconds: float) -> list[memory_fleet.FleetAnswer]:
@@ -284,6 +301,12 @@
         self.fleet.clock.call_later(seconds, leaf.limit_rate, None)
         return f"leaf {leaf.id} limits its rate to {rate} for {seconds:.1f} s"
 
+    def _begin_sequence(self) -> None:
+        """Begin the order of events of a past incident."""
+        name = self._sequences.begin()
+        at = self.fleet.clock.monotonic() - self._started_at
+        self.applied.append(f"{at:6.2f} {name}")
+
     def _reset_answers(self) -> None:
         """Let leaves reset a share of their answers; none of them ends."""
         rng = self._reset_rng
@@ -365,6 +388,7 @@
                 start=cut.start,
                 end=cut.end,
             )
+        yield from self._sequences.violations()
         yield from self._crashing.violations(self._is_judged)
         yield from crashing.check_only_crashing_are_barred(self._log.rows)
         answers = [
--- a/lab/tests/test_fleet_fuzz.py
+++ b/lab/tests/test_fleet_fuzz.py
@@ -4,8 +4,9 @@
 
 from lab import fuzz
 from standins import platform_model
-from trefoilpier.replicas import rate_limit
-from trefoilpier.tier import dispatcher
+from trefoilpier.forward import stopping
+from trefoilpier.replicas import rate_limit, registration_grace, registry
+from trefoilpier.tier import dispatcher, graceful_stop, store_sync
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -39,3 +40,54 @@
     )
     violations = [fuzz.run_seed(seed)[0] for seed in (1, 2, 3)]
     assert any("not registered" in each for each in sum(violations, []))
+
+
+def violations_of(*seeds):
+    return sum((fuzz.run_seed(seed)[0] for seed in seeds), [])
+
+
+def test_requests_cut_by_a_stop_are_found(monkeypatch):
+    monkeypatch.setattr(stopping, "admit", lambda state: None)
+    monkeypatch.setattr(
+        graceful_stop.GracefulStop, "_answer_all", lambda self: None
+    )
+    assert any("into its stop" in each for each in violations_of(9, 12, 15))
+
+
+def test_forgotten_evacuations_are_found(monkeypatch):
+    apply_items = store_sync.StoreSync._apply_items
+
+    def publish_first(self, *, from_peer, revision):
+        self._publish(revision or 0)
+        apply_items(self, from_peer=from_peer, revision=revision)
+
+    monkeypatch.setattr(store_sync.StoreSync, "_apply_items", publish_first)
+    assert any("forgotten" in each for each in violations_of(10, 12, 13))
+
+
+def test_forgotten_leaves_are_found(monkeypatch):
+    monkeypatch.setattr(
+        store_sync.StoreSync, "_final_changes", lambda self, changes: changes
+    )
+    assert any("registered leaves" in each for each in violations_of(5, 7, 9))
+
+
+def test_leaves_used_after_their_removal_are_found(monkeypatch):
+    def extend_all(self):
+        self._until = self._clock.monotonic() + registration_grace._GRACE_S
+        self._until_by_id = dict.fromkeys(self._until_by_id, self._until)
+        self._arm()
+
+    def count_all(self, leaf_ids):
+        if 4 * len(leaf_ids) >= len(self.pool_by_id) and len(leaf_ids) >= 4:
+            self.handle_store_recovery()
+        for leaf_id in leaf_ids:
+            self.remove_leaf(leaf_id)
+
+    monkeypatch.setattr(
+        registration_grace.RegistrationGrace,
+        "handle_store_recovery",
+        extend_all,
+    )
+    monkeypatch.setattr(registry.LeafRegistry, "remove_leaves", count_all)
+    assert any("got a request" in each for each in violations_of(8, 19, 20))
--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -344,7 +344,9 @@
         )
 
     def start(self) -> None:
-        """Start a process."""
+        """Start a process, unless one runs."""
+        if self.process is not None:
+            return
         self.starts += 1
         self._process_clock = _ProcessClock(clock=self._clock)
         self._process_net = _ProcessNetwork(
@@ -515,6 +517,7 @@
     """
 
     __slots__ = (
+        "_first_shard",
         "_gone_leaf_ids",
         "_net",
         "_next_request",
@@ -559,6 +562,7 @@
         self.anonymous: tuple[str, ...] = ()
         self._sizes = sizes
         self._version = 0
+        self._first_shard = 0
         self._next_request = 0
         self.clock = base.VirtualClock(start=100.0)
         self.log = log
@@ -728,6 +732,36 @@
         self._write_entry(leaf_id)
         self.clock.call_later(leave_after_s, self._remove_leaf, leaf_id)
 
+    def remove_without_drain(self, leaf_id: str) -> None:
+        """Remove the entry of a leaf that has announced nothing."""
+        self.leaf_by_id[leaf_id].leaving_at = self.clock.monotonic()
+        self._remove_leaf(leaf_id)
+
+    def expire_entry(self, leaf_id: str, missing_s: float) -> None:
+        """Remove the entry of a live leaf, which writes it again.
+
+        Args:
+            leaf_id: Id of the leaf.
+            missing_s: Seconds until it writes its entry again.
+        """
+        self.model.delete(published_protocol.LEAF_PREFIX + leaf_id)
+
+        def write_again() -> None:
+            leaf = self.leaf_by_id[leaf_id]
+            if leaf.stays and not self.model.faults.down:
+                self._write_entry(leaf_id)
+
+        self.clock.call_later(missing_s, write_again)
+
+    def registered_leaf_ids(self) -> list[str]:
+        """Return the ids of the leaves that have an entry."""
+        prefix = published_protocol.LEAF_PREFIX
+        return [
+            key.removeprefix(prefix)
+            for key in self.model.keys(prefix)
+            if key.removeprefix(prefix) in self.leaf_by_id
+        ]
+
     def _remove_leaf(self, leaf_id: str) -> None:
         self._gone_leaf_ids.add(leaf_id)
         self.model.delete(published_protocol.LEAF_PREFIX + leaf_id)
@@ -765,8 +799,31 @@
         """Version of the newest routes."""
         return self._version
 
+    @property
+    def shard_count(self) -> int:
+        """Number of the shards that the routes gather from."""
+        return self._sizes.shards
+
+    @property
+    def zones(self) -> list[str]:
+        """Availability zones of the fleet."""
+        return [f"z{number}" for number in range(self._sizes.zones)]
+
+    @property
+    def gatherers(self) -> list[MemoryVm]:
+        """VMs that gather if they run."""
+        return self.vms[: self._sizes.large]
+
     def write_routes(self) -> int:
         """Write a new version of the routes; return its number."""
+        self._first_shard = 0
+        self._version += 1
+        self._put_routes()
+        return self._version
+
+    def write_moved_routes(self) -> int:
+        """Write a version that moves all routes to the last half of shards."""
+        self._first_shard = self._sizes.shards // 2
         self._version += 1
         self._put_routes()
         return self._version
@@ -776,8 +833,11 @@
             published_protocol.ROUTES_KEY,
             published_protocol.routes_value(
                 version=self._version,
-                shards=[f"shard{k}" for k in range(self._sizes.shards)],
-                single="shard0",
+                shards=[
+                    f"shard{k}"
+                    for k in range(self._first_shard, self._sizes.shards)
+                ],
+                single=f"shard{self._first_shard}",
                 accounts=self.accounts,
                 anonymous=self.anonymous,
                 cold_rate=self._sizes.cold_rate,
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -469,6 +469,11 @@
         if self._registration is not None:
             self._registration.stop()
 
+    @property
+    def known_leaf_ids(self) -> list[str]:
+        """Ids of the leaves that the VM knows."""
+        return list(self._leaf_registry.pool_by_id)
+
     @property
     def in_flight(self) -> int:
         """Number of requests without a response."""
