The soak stops a VM that callers use until its process has ended

Cause: its callers left a VM as soon as it was not ready, so that a request late in the grace period was never drawn.

Change: a second planned stop, with callers who go on using the VM over kept and over new connections, while leaves are slow in the second half of the grace period.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 
 _TIMEOUT_MS = 1500
 _PROBE_PERIOD_S = 0.5
+_NEW_CONNECTION_SHARE = 0.7  # Of the requests to a VM out of rotation.
 _FAILED_PROBES_MAX = 2  # Consecutive failures that remove a VM from rotation.
 REQUEST_KINDS = (("g", b"GET"), ("r", b"GET"), ("w", b"POST"))
 
@@ -41,6 +42,8 @@
     Attributes:
         requests: All requests sent so far.
         stopped: Whether sending has stopped.
+        loyal_vm: VM that gets as many requests again, ready or not, over
+            connections that stay open and over new ones; none if empty.
     """
 
     __slots__ = (
@@ -51,6 +54,7 @@
         "_probe_client_by_vm",
         "_rng",
         "_environment",
+        "loyal_vm",
         "requests",
         "stopped",
     )
@@ -79,6 +83,7 @@
         }
         self.requests: list[RequestRecord] = []
         self.stopped = False
+        self.loyal_vm = ""
 
     def _make_client(self, vm: tier_world.Vm, port: int) -> http1.HttpClient:
         return http1.HttpClient(
@@ -121,19 +126,25 @@
         reactor.callLater(self._period_s, self._send)
         kind, method = self._rng.choice(REQUEST_KINDS)
         self.send(kind, method)
+        if self.loyal_vm:
+            kind, method = self._rng.choice(REQUEST_KINDS)
+            self.send(kind, method, vm=self.loyal_vm)
 
-    def send(self, kind: str, method: bytes, target: str = "") -> None:
+    def send(
+        self, kind: str, method: bytes, target: str = "", vm: str = ""
+    ) -> None:
         """Send one request to a VM in rotation, if there is one.
 
         Args:
             kind: Kind of the request.
             method: Its method.
             target: Its target if it crashes leaves; otherwise a new one.
+            vm: A VM that gets it, in rotation or not; empty for any.
         """
         ready = self.ready_vms
-        if not ready:
+        if not ready and not vm:
             return
-        name = self._rng.choice(ready)
+        name = vm or self._rng.choice(ready)
         request = RequestRecord(
             id=f"{kind}{len(self.requests)}",
             kind=kind,
@@ -143,7 +154,11 @@
             headers=[],
         )
         self.requests.append(request)
-        self._client_by_vm[name].send_request(
+        client = self._client_by_vm[name]
+        if vm and self._rng.random() < _NEW_CONNECTION_SHARE:
+            port = self._environment.vm_by_name[name].ports.caller_port
+            client = self._make_client(self._environment.vm_by_name[name], port)
+        client.send_request(
             method,
             (target or f"/{kind}/{len(self.requests)}").encode(),
             timeout_s=_TIMEOUT_MS / 1000 + 1.0,
@@ -152,9 +167,13 @@
                 *published_protocol.request_headers(request.id, _TIMEOUT_MS),
             ],
             body=b"x" if method == b"POST" else b"",
-        ).addCallback(self._on_outcome, request)
+        ).addCallback(self._on_outcome, request, client)
 
-    def _on_outcome(self, outcome: object, request: RequestRecord) -> None:
+    def _on_outcome(
+        self, outcome: object, request: RequestRecord, client: http1.HttpClient
+    ) -> None:
+        if client is not self._client_by_vm[request.vm]:
+            client.close()
         request.ended_at = self._clock.monotonic()
         if not isinstance(outcome, http1.ResponseReceived):
             request.status = 0
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -304,8 +304,14 @@
     recovered_at: float,
     applied: Sequence[faults.AppliedFault],
 ) -> Iterable[str]:
-    """Check that requests succeed again; a planned cut is judged apart."""
-    cuts = _planned_cuts(applied)
+    """Check that requests succeed again.
+
+    A planned cut and a planned stop with slow leaves are judged apart.
+    """
+    judged_apart = [
+        *_planned_cuts(applied),
+        *(each for each in applied if each.name.endswith(faults.PLANNED_STOP)),
+    ]
     later_requests = [
         request
         for request in requests
@@ -314,7 +320,7 @@
             fault.started_at
             <= request.sent_at
             <= fault.started_at + fault.duration_s
-            for fault in cuts
+            for fault in judged_apart
         )
     ]
     success_count = sum(request.status == 200 for request in later_requests)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,7 @@
 
 from twisted.internet import reactor
 
-from soak import crashing
+from soak import callers, crashing
 from standins import link_proxy, opaque_leaf, tier_world
 
 PLANNED = "planned"
@@ -18,6 +18,9 @@
 # when the VM is stopped.
 _SLOWDOWN_FACTOR = 10.0
 _SLOWDOWN_S = 0.7
+_STOP_LENGTH_S = 6.5  # A little longer than the grace period.
+_LATE_SLOWDOWN_FROM_S = 3.0
+_LATE_SLOWDOWN_FACTOR = 40.0  # Requests take 0.3 to 0.5 s.
 _RESTORE_OUTAGE_S = 0.6
 _GAP_RANGE_S = (0.3, 2.0)
 _DURATION_RANGE_S = (0.5, 4.0)
@@ -81,13 +84,7 @@
 
         def stop() -> None:
             vm.send_signal(signal.SIGTERM)
-            self.applied.append(
-                AppliedFault(
-                    name=f"{vm.name} {PLANNED_STOP}",
-                    started_at=self._now(),
-                    duration_s=0.0,
-                )
-            )
+            self._record_planned_stop(vm)
 
         def end() -> None:
             for leaf_instance in self._environment.leaf_by_id.values():
@@ -96,6 +93,41 @@
         reactor.callLater(_SLOWDOWN_S, stop)
         reactor.callLater(2 * _SLOWDOWN_S, end)
 
+    def planned_stop_in_use(self, load: callers.Callers) -> None:
+        """Stop one VM that callers use until its process has ended.
+
+        Leaves are slow in the second half of the grace period, so that requests
+        take longer than it lasts.
+        """
+        vm = self._rng.choice(self._environment.vms)
+        load.loyal_vm = vm.name
+        self._record_planned_stop(vm, _STOP_LENGTH_S)
+        vm.send_signal(signal.SIGTERM)
+
+        def set_slowness(factor: float) -> None:
+            for leaf_instance in self._environment.live_leaves:
+                leaf_instance.leaf.faults.slow_factor = factor
+
+        def leave() -> None:
+            load.loyal_vm = ""
+
+        reactor.callLater(
+            _LATE_SLOWDOWN_FROM_S, set_slowness, _LATE_SLOWDOWN_FACTOR
+        )
+        reactor.callLater(_STOP_LENGTH_S, set_slowness, 1.0)
+        reactor.callLater(_STOP_LENGTH_S, leave)
+
+    def _record_planned_stop(
+        self, vm: tier_world.Vm, duration_s: float = 0.0
+    ) -> None:
+        self.applied.append(
+            AppliedFault(
+                name=f"{vm.name} {PLANNED_STOP}",
+                started_at=self._now(),
+                duration_s=duration_s,
+            )
+        )
+
     def stop(self) -> None:
         """Stop injecting faults and end all active ones."""
         self._stopped = True
@@ -138,7 +170,16 @@
         )
         seconds = self._rng.uniform(*_DURATION_RANGE_S)
         chosen = self._rng.choice(choices)
-        name = chosen(seconds)
+        affects_leaf = chosen in (
+            self._break_leaf_link,
+            self._drain_leaf,
+            self._limit_leaf_rate,
+            self._pause_shard,
+        )
+        if affects_leaf and not self._environment.live_leaves:
+            name = "nothing: no leaf runs"
+        else:
+            name = chosen(seconds)
         self.applied.append(
             AppliedFault(name=name, started_at=self._now(), duration_s=seconds)
         )
--- a/soak/main.py
+++ b/soak/main.py
@@ -20,6 +20,8 @@
 _PLANNED_CUT_S = 7.0  # Period in which some VMs do not reach the leaves.
 _PLANNED_CUT_END_S = 2.0  # Time to be back on their own paths.
 _PLANNED_STOP_S = 4.0  # Period in which one VM is stopped with SIGTERM.
+# Period in which another one is stopped that callers use until its end.
+_STOP_IN_USE_S = 8.0
 _FINAL_WAIT_S = 3.0  # Time for the requests in flight to end.
 _OPEN_FILES_MAX = 4096  # Connections have both ends in this process.
 
@@ -76,6 +78,8 @@
     await _wait(_PLANNED_CUT_S + _PLANNED_CUT_END_S)
     injector.planned_stop()
     await _wait(_PLANNED_STOP_S)
+    injector.planned_stop_in_use(load)
+    await _wait(_STOP_IN_USE_S)
     load.stopped = True
     await _wait(_FINAL_WAIT_S)
     violations = checks.check_all(
@@ -126,6 +130,7 @@
         + _PLANNED_CUT_S
         + _PLANNED_CUT_END_S
         + _PLANNED_STOP_S
+        + _STOP_IN_USE_S
         + _FINAL_WAIT_S
     )
     print(f"soak: seed {seed}, about {total:.0f} s", flush=True)
--- a/standins/tier_world.py
+++ b/standins/tier_world.py
@@ -252,6 +252,11 @@
             )
         )
 
+    @property
+    def vm_by_name(self) -> dict[str, Vm]:
+        """The VMs, by name."""
+        return {vm.name: vm for vm in self.vms}
+
     def start(self) -> None:
         """Start the leaves, write the first routes and start the VMs."""
         self.reshard()
