The stop ends as soon as it is idle; the admission is a module of its own

Change: the rule is gone. forward/request_admission.py takes the admission, with what a stop adds, out of the engine.

--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -23,10 +23,10 @@
     policy,
     quota,
     quota_wait,
+    request_admission,
     request_context,
     response_size,
     responses,
-    service_state,
     shared_states,
     single_run,
     stopping,
@@ -58,11 +58,10 @@
     """
 
     __slots__ = (
-        "_decides_end",
+        "_admission",
         "_log",
         "_response_sizes",
         "_states",
-        "_stop_times",
         "_table",
         "account_usage",
         "accounts_confirmed",
@@ -92,8 +91,6 @@
         self.wire = wire
         self.chooser = chooser
         self._table: routes.RouteTable | None = None
-        self._stop_times: stopping.StopTimes | None = None
-        self._decides_end = True
         self.in_flight = 0
         self.count_by_outcome: dict[base.ResultCode, int] = {}
         self.histogram = histogram.LatencyHistogram()
@@ -105,6 +102,9 @@
             budget_limits=budget_limits,
             by_objective=self.policy.order_by_objective,
         )
+        self._admission = request_admission.RequestAdmission(
+            env=self, states=self._states
+        )
         self._response_sizes = response_size.ResponseSizes()
         self.route_read_failed: Callable[[], bool] = lambda: False
         self.accounts_confirmed: Callable[[], bool] = lambda: True
@@ -125,20 +125,19 @@
     @property
     def draining(self) -> bool:
         """Whether the VM is shutting down."""
-        return self._stop_times is not None
+        return self._admission.stop_times is not None
 
     def begin_stop(
-        self, times: stopping.StopTimes, *, decides: bool = True
+        self, times: stopping.StopTimes, *, estimates_end: bool = True
     ) -> None:
         """Refuse from now on what may not end before the VM does.
 
         Args:
             times: Times of the stop.
-            decides: Whether this VM estimates how long requests take; else
-                the VM does to which they are relayed.
+            estimates_end: Whether this VM estimates how long requests take;
+                else the VM does to which they are relayed.
         """
-        self._stop_times = times
-        self._decides_end = decides
+        self._admission.begin_stop(times, estimates_end=estimates_end)
 
     def budget_for(self, service: str) -> budget.RetryBudget:
         """Return the budget of retries and hedges of a service."""
@@ -288,7 +287,7 @@
         if self._is_quarantined(exchange, context, identity_account):
             return
         services = self._states.choose_services(route)
-        refusal = self._admit(context, services)
+        refusal = self._admission.admit(context, services)
         if refusal is not None:
             self._end_trial(context)
             self._count_refusal(context.account)
@@ -415,66 +414,6 @@
             *quota_wait.make_refusal(context, decision, self.account_usage),
         )
 
-    def _admit(
-        self,
-        context: request_context.RequestContext,
-        services: tuple[str, ...],
-    ) -> admission.Refusal | None:
-        now = self.clock.monotonic()
-        time_to_end_s = self._time_to_end_s(context.request, now)
-        if not self.policy.admission and time_to_end_s == float("inf"):
-            return None
-        state = service_state.estimate_admission_state(
-            context,
-            services,
-            registry=self.registry,
-            states=self._states,
-            now=now,
-        )
-        refusal = self._admit_while_stopping(
-            context, state, now=now, time_to_end_s=time_to_end_s
-        )
-        if refusal is not None or not self.policy.admission:
-            return refusal
-        if context.route.gather is not None and self.policy.shard_selection:
-            context.shard_states = state.services
-        return admission.admit(state)
-
-    def _time_to_end_s(self, request: http1.HttpRequest, now: float) -> float:
-        """Return seconds until this or the relaying VM ends its requests."""
-        if self._stop_times is None:
-            return request.sender_ends_in_s
-        return min(request.sender_ends_in_s, self._stop_times.answer_by - now)
-
-    def _admit_while_stopping(
-        self,
-        context: request_context.RequestContext,
-        state: admission.AdmissionState,
-        *,
-        now: float,
-        time_to_end_s: float,
-    ) -> admission.Refusal | None:
-        """Refuse a request that may not end before the VM does."""
-        if time_to_end_s == float("inf"):
-            return None
-        expected_s = admission.expected_s(state) or 0.0
-        excess_s = stopping.allowed_excess_s(
-            self.latency_for(context.route),
-            repeatable=context.route.repeatable,
-        )
-        return stopping.admit(
-            stopping.StoppingState(
-                expected_s=expected_s if self._decides_end else 0.0,
-                excess_s=excess_s if self._decides_end else 0.0,
-                time_left_s=state.time_left_s,
-                time_to_end_s=time_to_end_s,
-                in_rotation=(
-                    self._stop_times is not None
-                    and now < self._stop_times.leaves_rotation_at
-                ),
-            )
-        )
-
     def _refuse(
         self,
         exchange: http1.Exchange,
--- a/trefoilpier/http1/server.py
+++ b/trefoilpier/http1/server.py
@@ -399,7 +399,6 @@
         connections: The open connections.
         limits: Limits for callers; may be replaced at any time.
         closing: Whether each connection closes after its pending responses.
-        last_accepted_at: Monotonic time of the last new connection.
         link_s_per_byte: Seconds for which a byte of a response occupies the
             VM's network link; 0 if not known.
     """
@@ -419,13 +418,11 @@
         self.handler = handler
         self.limits = limits
         self.closing = False
-        self.last_accepted_at = 0.0
         self.connections: set[ServerConnection] = set()
         self._sweep_timer: base.Timer | None = None
 
     def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802
         """Build the protocol of an accepted connection."""
-        self.last_accepted_at = self.clock.monotonic()
         return ServerConnection(factory=self)
 
     def startFactory(self) -> None:  # noqa: N802
--- a/trefoilpier/replicas/registration_grace.py
+++ b/trefoilpier/replicas/registration_grace.py
@@ -7,6 +7,22 @@
 # Live leaves register again within about 2 s after the store recovers.
 _GRACE_S = 2.2
 _FOREVER = float("inf")
+# So many entries disappear at once only if they expired during an outage.
+_MASS_EXPIRY_COUNT = 4
+_MASS_EXPIRY_SHARE = 0.25
+
+
+def is_mass_expiry(count: int, *, of: int) -> bool:
+    """Return whether removals at one time indicate an outage of the store.
+
+    Args:
+        count: Removed entries of leaves that had not announced to leave.
+        of: All leaves that have not announced it.
+
+    >>> is_mass_expiry(4, of=16), is_mass_expiry(4, of=17)
+    (True, False)
+    """
+    return count >= _MASS_EXPIRY_COUNT and count >= _MASS_EXPIRY_SHARE * of
 
 
 class RegistrationGrace:
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -25,9 +25,6 @@
 from trefoilpier.replicas import entry as entries
 from trefoilpier.replicas import policy as policies
 
-# So many entries disappear at once only if they expired during an outage.
-_MASS_EXPIRY_COUNT = 4
-_MASS_EXPIRY_SHARE = 0.25
 # VMs assumed to share a leaf until the fleet's size is known.
 _ASSUMED_VM_COUNT = 12
 # Memory for incomplete answers of all leaves, a fifth of a small VM's.
@@ -314,8 +311,7 @@
             if not leaf_pool.leaving
         }
         count = sum(leaf_id in staying_ids for leaf_id in leaf_ids)
-        share = count / max(1, len(staying_ids))
-        if count >= _MASS_EXPIRY_COUNT and share >= _MASS_EXPIRY_SHARE:
+        if registration_grace.is_mass_expiry(count, of=len(staying_ids)):
             self.handle_store_recovery()
         for leaf_id in leaf_ids:
             self.remove_leaf(leaf_id)
--- a/trefoilpier/tier/dispatcher.py
+++ b/trefoilpier/tier/dispatcher.py
@@ -41,7 +41,7 @@
         """Tell gatherers from now on when this VM ends."""
         clock = self.engine.clock
         self._wire.get_ends_in_s = lambda: times.answer_by - clock.monotonic()
-        self.engine.begin_stop(times, decides=False)
+        self.engine.begin_stop(times, estimates_end=False)
 
     def update_version(self, version: int) -> None:
         """Update the version of the routes from a gatherer's report."""
--- a/trefoilpier/tier/graceful_stop.py
+++ b/trefoilpier/tier/graceful_stop.py
@@ -19,8 +19,6 @@
 # A connection is closed only after this time, since its next request may be on
 # the way.
 _IDLE_MIN_S = 0.3
-# Callers who are still sent here have no other VM, or too few.
-_QUIET_S = 0.5
 
 
 class GracefulStop:
@@ -50,8 +48,7 @@
             clock: Source of time and timers.
             log: Log of events.
             vm: The VM that stops.
-            servers: Servers of all its listening addresses, that of the
-                callers first.
+            servers: Servers of all its listening addresses.
             grace_s: Seconds from the signal until the process is killed.
             on_end: Called when the process is to end.
         """
@@ -88,12 +85,11 @@
             server.expire_requests()
 
     def _close_idle(self) -> None:
-        """Close idle connections; end once no caller needs this VM."""
+        """Close idle connections until none is left, then end."""
         for server in self._servers:
             server.close_idle(_IDLE_MIN_S)
         connected = any(server.connections for server in self._servers)
-        quiet_s = self._clock.monotonic() - self._servers[0].last_accepted_at
-        if self._vm.in_flight or connected or quiet_s < _QUIET_S:
+        if self._vm.in_flight or connected:
             self._clock.call_later(_CLOSE_IDLE_PAUSE_S, self._close_idle)
             return
         self._on_end()
