A VM whose record has left the store registers again

Cause: a write of the record that was taken for lost and is done seconds later binds the record to an earlier lease. When that ends, the VM is in no list until its process restarts, while it renews the other lease (seen in the code by the review). Retry allowances are then divided among too few VMs.

Change: a VM that follows the store registers again once its record, having been listed, is gone. The reduction of a batch is a pure function of store_items. The draws of stops slow the leaves earlier, since an idle VM ends.

Result: both new tests fail without the change (the record stays away) and pass.

--- a/lab/tests/test_fleet_fuzz.py
+++ b/lab/tests/test_fleet_fuzz.py
@@ -6,7 +6,7 @@
 from standins import platform_model
 from trefoilpier.forward import stopping
 from trefoilpier.replicas import rate_limit, registration_grace, registry
-from trefoilpier.tier import dispatcher, graceful_stop, store_sync
+from trefoilpier.tier import dispatcher, graceful_stop, store_items, store_sync
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -67,7 +67,7 @@
 
 def test_forgotten_leaves_are_found(monkeypatch):
     monkeypatch.setattr(
-        store_sync.StoreSync, "_final_changes", lambda self, changes: changes
+        store_items, "final_changes", lambda changes, known_by_key: changes
     )
     assert any("registered leaves" in each for each in violations_of(5, 7, 9))
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,7 +19,7 @@
 _SLOWDOWN_FACTOR = 10.0
 _SLOWDOWN_S = 0.7
 _STOP_LENGTH_S = 6.5  # A little longer than the grace period.
-_LATE_SLOWDOWN_FROM_S = 3.0
+_LATE_SLOWDOWN_FROM_S = 2.0
 _LATE_SLOWDOWN_FACTOR = 40.0  # Requests take 0.3 to 0.5 s.
 _RESTORE_OUTAGE_S = 0.6
 _GAP_RANGE_S = (0.3, 2.0)
@@ -96,8 +96,8 @@
     def planned_stop_in_use(self, load: callers.Callers) -> None:
         """Stop one VM that callers use until its process has ended.
 
-        Leaves are slow in the second half of the grace period, so that requests
-        take longer than it lasts.
+        Leaves turn slow, so that the VM is never idle and that requests taken
+        late last longer than it.
         """
         vm = self._rng.choice(self._environment.vms)
         load.loyal_vm = vm.name
--- a/trefoilpier/fleet/registration.py
+++ b/trefoilpier/fleet/registration.py
@@ -29,6 +29,7 @@
         "_store",
         "_ttl_s",
         "_wake",
+        "_was_listed",
     )
 
     def __init__(
@@ -47,6 +48,7 @@
         self._ttl_s = max(_LEASE_TTL_S, lease_ttl_min_s)
         self._lease_id = ""
         self._stopped = False
+        self._was_listed = False
         self._wake: Callable[[], None] = lambda: None
         store_client.on_restore(self._handle_restore)
 
@@ -66,6 +68,22 @@
         The record may be lost, and the lease's id may have been given out to
         another VM.
         """
+        self._register_again()
+
+    def handle_listing(self, *, listed: bool) -> None:
+        """Register again if the store no longer lists the VM's record.
+
+        A write that was taken for lost and is done seconds later binds the
+        record to an earlier lease, with which it ends.
+
+        Args:
+            listed: Whether the store lists the record, as far as it is known.
+        """
+        was_listed, self._was_listed = self._was_listed, listed
+        if was_listed and not listed and not self._stopped:
+            self._register_again()
+
+    def _register_again(self) -> None:
         self._lease_id = ""
         self._wake()
 
--- a/trefoilpier/fleet/tests/test_registration.py
+++ b/trefoilpier/fleet/tests/test_registration.py
@@ -85,3 +85,22 @@
     harness.model.faults.down = False
     harness.clock.advance(3.0)
     assert harness.registered_records() == [RECORD]
+
+
+def test_record_that_has_ended_with_an_earlier_lease_stays_away():
+    # Guards against a write that was taken for lost, is done seconds later and
+    # binds the record to a lease that nobody renews.
+    harness = RegistrationHarness()
+    harness.registration.start()
+    harness.clock.advance(1.0)
+    harness.registration.handle_listing(listed=True)
+    earlier = harness.model.grant_lease(1.0)
+    key = fleet.VM_KEY_PREFIX + RECORD.id
+    harness.model.put(key, RECORD.encode().decode(), None, earlier)
+    harness.clock.advance(2.0)
+    assert harness.registered_records() == []
+    harness.registration.handle_listing(listed=False)
+    harness.clock.advance(3.0)
+    assert harness.registered_records() == [RECORD]
+    harness.clock.advance(60.0)
+    assert harness.registered_records() == [RECORD]
--- a/trefoilpier/tier/store_items.py
+++ b/trefoilpier/tier/store_items.py
@@ -1,6 +1,7 @@
 """Items of the store: up to where they are known, and who follows them."""
 
 import abc
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from trefoilpier import store
@@ -29,6 +30,36 @@
         return self.era is not None and era is not None and era < self.era
 
 
+def final_changes(
+    changes: Iterable[store.Change], known_by_key: Mapping[str, store.Item]
+) -> list[store.Change]:
+    """Return the last change of each key, without what is known already.
+
+    So a batch leaves no trace of what it has itself undone, and its writes and
+    removals concern different keys. A watch may repeat changes that precede
+    the items of a complete read, whose pages are no snapshot.
+
+    Args:
+        changes: Changes in the order of their revisions.
+        known_by_key: The items as known before.
+
+    >>> item = store.Item(key="a", value=b"", revision=6)
+    >>> removal = store.Change(key="a", revision=5, item=None)
+    >>> write = store.Change(key="a", revision=6, item=item)
+    >>> final_changes([removal, write], {}) == [write]
+    True
+    >>> final_changes([removal], {"a": item})
+    []
+    """
+    change_by_key = {change.key: change for change in changes}
+    return [
+        change
+        for key, change in change_by_key.items()
+        if key not in known_by_key
+        or known_by_key[key].revision < change.revision
+    ]
+
+
 class ItemFollower(abc.ABC):
     """Follows the items below one prefix."""
 
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -1,7 +1,7 @@
 """Synchronization of routes, leaves and VM records from the store."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from twisted.internet import defer
 
@@ -372,7 +372,7 @@
         self, changes: list[store.Change], revision: int
     ) -> None:
         removed_leaf_ids = []
-        for change in self._final_changes(changes):
+        for change in store_items.final_changes(changes, self._items_by_key):
             if change.item is not None:
                 self._items_by_key[change.key] = change.item
             else:
@@ -396,21 +396,6 @@
         self._registry.remove_leaves(removed_leaf_ids)
         self._publish(revision)
 
-    def _final_changes(
-        self, changes: list[store.Change]
-    ) -> Iterable[store.Change]:
-        """Return the last change of each key, without what is known already.
-
-        So a batch leaves no trace of what it has itself undone, and its writes
-        and removals concern different keys. A watch may repeat changes that
-        precede the items of a complete read, whose pages are no snapshot.
-        """
-        change_by_key = {change.key: change for change in changes}
-        for change in change_by_key.values():
-            known = self._items_by_key.get(change.key)
-            if known is None or known.revision < change.revision:
-                yield change
-
     def _apply_routes(self, item: store.Item) -> None:
         # Decoding takes some 15 microseconds an account, and each snapshot of
         # a peer has the routes.
--- a/trefoilpier/tier/tests/test_store_restore.py
+++ b/trefoilpier/tier/tests/test_store_restore.py
@@ -6,6 +6,7 @@
 
 from standins import (
     httpd,
+    memory_fleet,
     memory_net,
     memory_tier,
     platform_model,
@@ -299,3 +300,23 @@
     harness.sync.apply_peer_items(items, era=2)
     harness.clock.advance(3.0)
     assert harness.usable_leaves() == ["a", "b"]
+
+
+def test_vm_whose_record_ended_with_an_earlier_lease_is_in_no_list(tmp_path):
+    # Guards against retry allowances that are divided among too few VMs.
+    made = memory_fleet.MemoryFleet(
+        directory=tmp_path,
+        log=base.NullEventLog(),
+        sizes=memory_fleet.FleetSizes(large=3, small=0, zones=1),
+    )
+    made.start_all()
+    made.clock.advance(3.0)
+    key = fleet.VM_KEY_PREFIX + "vm-1"
+    value = made.model.current_value(key).value
+    made.model.put(key, value, None, made.model.grant_lease(1.0))
+    made.clock.advance(1.5)
+    assert made.model.current_value(key).revision == 0
+    made.clock.advance(5.0)
+    assert made.model.current_value(key).value == value
+    counts = {vm.process.gauges["vms_gathering"]() for vm in made.vms}
+    assert counts == {3}
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -343,6 +343,10 @@
     def _apply_members(self) -> None:
         """Adapt the shares of connections and budgets to the gatherers."""
         self.state_handler.notify_waiting()
+        if self._registration is not None and self._store_sync.current:
+            self._registration.handle_listing(
+                listed=self._boot.node_id in self._directory.record_by_id
+            )
         self._update_shared_limits()
         count = len(self._selection.selected)
         if count > self._vm_count:
