--- a/lab/sequences.py
+++ b/lab/sequences.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable, Iterator, Mapping
 
-from standins import leaf_rules, memory_fleet
+from standins import leaf_rules, memory_fleet, published_protocol
 
 # Each VM knows of an evacuation this long after it at the latest.
 _EVACUATION_KNOWN_S = leaf_rules.EVACUATE_S
@@ -30,14 +30,6 @@
 _STOP_LENGTH_MAX_S = 6.0
 _RESTART_S = 0.5
 _TIMEOUT_MAX_S = 1.5
-_ODD_VALUES = (
-    "[" * 5000,
-    '{"service":"shard0","address":"10.2.0.0:99999","zone":"z0"}',
-    '{"service":"shard0","address":"10.2.0.0:8000","zone":"z0",'
-    '"state":"ready","max-concurrency":1e400}',
-    '{"id":"odd","zone":"z0","host":"10.1.0.1","relay_port":1e308,'
-    '"state_port":91,"started_ms":1}',
-)
 
 
 class IncidentSequences:
@@ -257,7 +249,7 @@
 
     def _odd_entries(self) -> str:
         """Write entries that another writer has left."""
-        for number, value in enumerate(_ODD_VALUES):
+        for number, value in enumerate(published_protocol.ODD_VALUES):
             for prefix in ("servers/", "tier/vms/", "tier/quarantine/"):
                 self._later(
                     0.0,
--- a/standins/published_protocol.py
+++ b/standins/published_protocol.py
@@ -16,6 +16,15 @@
 ROUTES_KEY = platform.ROUTES_KEY
 LEAF_PREFIX = platform.LEAF_PREFIX
 EVACUATION_PREFIX = platform.EVACUATION_PREFIX
+# Entries that another writer may leave among those of leaves and VMs.
+ODD_VALUES = (
+    "[" * 5000,
+    '{"service":"shard0","address":"10.2.0.0:99999","zone":"z0"}',
+    '{"service":"shard0","address":"10.2.0.0:8000","zone":"z0",'
+    '"state":"ready","max-concurrency":1e400}',
+    '{"id":"odd","zone":"z0","host":"10.1.0.1","relay_port":1e308,'
+    '"state_port":91,"started_ms":1}',
+)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
