The startup test listens at an address of its own process

Shown again by occupying that port.

Change: the loopback address follows from the process id. What the test checks is the same.

Result: with the port occupied the old test fails and the new one passes.

--- a/trefoilpier/tier/tests/test_startup.py
+++ b/trefoilpier/tier/tests/test_startup.py
@@ -81,8 +81,11 @@
 
 def _modules_executed_by(cores, tmp_path):
     """Run the daemon briefly; return the names of modules it has executed."""
+    # An address of this process, as two runs of the tests may overlap.
+    process_number = os.getpid()
+    host = f"127.9.{process_number // 250 % 250}.{process_number % 250 + 1}"
     ports = published_protocol.VmPorts(
-        host="127.0.9.1",
+        host=host,
         caller_port=18000,
         readiness_port=18001,
         first_internal_port=18010,
@@ -90,7 +93,7 @@
     settings = tmp_path / "settings"
     settings.write_text(
         published_protocol.settings_text(
-            name="vm", zone="a", ports=ports, store="127.0.9.1:1", cores=cores
+            name="vm", zone="a", ports=ports, store=f"{host}:1", cores=cores
         )
     )
     script = (
