LOST: no wait begins once the process ends

Callers of a stopping VM saw a closed connection if their gathered request waited for the decision whether it crashes leaves when the grace period ended.

Cause: on_expire is called once. The wait ended, the request was handled again, and another wait of 0.25 s began, longer than the 0.1 s that the process lived. Requests that arrived in that 0.1 s could begin such a wait, too.

Change: the engines refuse everything from that moment on, before any check that may wait.

--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -139,6 +139,14 @@
         """
         self._admission.begin_stop(times, estimates_end=estimates_end)
 
+    def refuse_all(self) -> None:
+        """Refuse each request from now on, before it waits for anything.
+
+        What is in flight is answered after this, and what is handled again
+        then must not begin another wait: the process ends.
+        """
+        self._admission.ended = True
+
     def budget_for(self, service: str) -> budget.RetryBudget:
         """Return the budget of retries and hedges of a service."""
         return self._states.budget_for(service)
@@ -188,6 +196,14 @@
         """Route a request and start forwarding it."""
         request = exchange.request
         metadata = self.wire.read_metadata(request)
+        if self._admission.ended:
+            refusal = stopping.refuse_at_end(
+                self._time_left_s(exchange, metadata)
+            )
+            self._refuse(
+                exchange, metadata, refusal.code, refusal.retry_after_s
+            )
+            return
         if self.table is None:
             self._wait_for_routes(exchange, metadata)
             return
@@ -212,18 +228,24 @@
         path = request.target.partition(b"?")[0]
         return self.table.match(host.partition(b":")[0], path)
 
+    def _time_left_s(
+        self, exchange: http1.Exchange, metadata: wires.RequestMetadata
+    ) -> float:
+        """Return the seconds that a caller waits on, whatever its route."""
+        wait_s = metadata.wait_s
+        if wait_s is None:
+            wait_s = _TIME_LEFT_DEFAULT_S
+        return wait_s + exchange.received_at - self.clock.monotonic()
+
     def _wait_for_routes(
         self, exchange: http1.Exchange, metadata: wires.RequestMetadata
     ) -> None:
         """Handle the request again shortly, or refuse it."""
-        waited_s = self.clock.monotonic() - exchange.received_at
-        wait_s = metadata.wait_s
-        time_left_s = _TIME_LEFT_DEFAULT_S if wait_s is None else wait_s
         refusal = admission.admit_without_routes(
             admission.StartupState(
                 read_failed=self.route_read_failed(),
-                waited_s=waited_s,
-                time_left_s=time_left_s - waited_s,
+                waited_s=self.clock.monotonic() - exchange.received_at,
+                time_left_s=self._time_left_s(exchange, metadata),
             )
         )
         if refusal is not None:
--- a/trefoilpier/forward/request_admission.py
+++ b/trefoilpier/forward/request_admission.py
@@ -16,10 +16,11 @@
     """Estimates the state that decisions depend on, and asks them in turn.
 
     Attributes:
+        ended: Whether nothing is admitted any more, since the VM ends.
         stop_times: Times of the VM's stop; None unless it stops.
     """
 
-    __slots__ = ("_env", "_estimates_end", "_states", "stop_times")
+    __slots__ = ("_env", "_estimates_end", "_states", "ended", "stop_times")
 
     def __init__(
         self,
@@ -36,6 +37,7 @@
         self._env = env
         self._states = states
         self._estimates_end = True
+        self.ended = False
         self.stop_times: stopping.StopTimes | None = None
 
     def begin_stop(
--- a/trefoilpier/forward/stopping.py
+++ b/trefoilpier/forward/stopping.py
@@ -65,6 +65,21 @@
     return max(0.0, slow_s - estimator.median_s)
 
 
+def refuse_at_end(time_left_s: float) -> admission.Refusal:
+    """Return the refusal of what arrives just before the process ends.
+
+    Args:
+        time_left_s: Seconds until the caller's deadline.
+
+    >>> refuse_at_end(6.0)
+    Refusal(code=<ResultCode.DRAINING: 'TPR-3003'>, retry_after_s=1.0)
+    """
+    return admission.Refusal(
+        code=base.ResultCode.DRAINING,
+        retry_after_s=admission.retry_after(time_left_s, _RESTART_S),
+    )
+
+
 def admit(state: StoppingState) -> admission.Refusal | None:
     """Return a refusal of what may not end in time, or None.
 
--- a/trefoilpier/tier/graceful_stop.py
+++ b/trefoilpier/tier/graceful_stop.py
@@ -81,6 +81,7 @@
 
     def _answer_all(self) -> None:
         """Answer what is in flight: as not run if so, else as unknown."""
+        self._vm.refuse_all()
         for server in self._servers:
             server.expire_requests()
 
--- a/trefoilpier/tier/tests/test_graceful_stop.py
+++ b/trefoilpier/tier/tests/test_graceful_stop.py
@@ -7,7 +7,7 @@
 import pytest
 
 from standins import memory_fleet
-from trefoilpier import base, http1
+from trefoilpier import base, http1, quarantine
 
 _GRACE_S = 6.0
 _PERIOD_S = 0.05
@@ -163,3 +163,58 @@
     }
     for each in fleet.answers:
         assert each.status == (502 if each.id in sent_ids else 503)
+
+
+def hang_with_a_request(fleet, vm):
+    """Let all leaves hang, so that a request keeps the VM from ending."""
+    for each in fleet.leaf_by_id.values():
+        each.leaf.faults.stopped = True
+    fleet.send_request(*_SAFE, vm=vm)
+
+
+def undecided(monkeypatch):
+    """Let it be undecided for good whether gathered requests crash leaves."""
+    monkeypatch.setattr(
+        quarantine.EarlySuspicions,
+        "standing",
+        lambda self, fingerprint: quarantine.EarlyStanding.UNDECIDED,
+    )
+
+
+@pytest.mark.parametrize("sent_at_s", [5.2, 5.3, 5.36])
+def test_request_that_waits_for_a_decision_is_cut_by_the_end(
+    tmp_path, monkeypatch, sent_at_s
+):
+    # Guards against requests that wait again when the VM lets them end, for
+    # longer than its process lives.
+    fleet = make_fleet(tmp_path, work_s=0.1)
+    vm = fleet.vms[0]
+    stop_while_used(fleet, vm, 4.7)
+    hang_with_a_request(fleet, vm)
+    undecided(monkeypatch)
+    fleet.clock.advance(sent_at_s - 4.7)
+    request_id = fleet.send_request(*_GATHERED, vm=vm)
+    fleet.clock.advance(1.0)
+    assert vm.process is None
+    answer = answer_to(fleet, request_id)
+    assert answer.status == 503
+    assert answer.took_s < 0.31
+
+
+def test_request_after_the_last_answers_waits_for_nothing(
+    tmp_path, monkeypatch
+):
+    # Guards against waits that begin when it is too late to end them.
+    fleet = make_fleet(tmp_path, work_s=0.1)
+    vm = fleet.vms[0]
+    stop_while_used(fleet, vm, 4.7)
+    hang_with_a_request(fleet, vm)
+    undecided(monkeypatch)
+    fleet.clock.advance(0.73)
+    request_id = fleet.send_request(*_GATHERED, vm=vm)
+    fleet.clock.advance(1.0)
+    assert vm.process is None
+    answer = answer_to(fleet, request_id)
+    assert answer.status == 503
+    assert answer.took_s < 0.01
+    assert dict(answer.headers)[b"connection"] == b"close"
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -473,6 +473,11 @@
         if self._registration is not None:
             self._registration.stop()
 
+    def refuse_all(self) -> None:
+        """Refuse each further request, since the process ends."""
+        for engine in self.engine_by_role.values():
+            engine.refuse_all()
+
     @property
     def known_leaf_ids(self) -> list[str]:
         """Ids of the leaves that the VM knows."""
