BUDGET: a lower number of VMs counts 15 s after it was counted itself

VMs divide connections and the allowance of retries by the number of gatherers. A decrease is to count after 15 s, as records of running VMs may be missing. Its timer applied whatever number was known at its end, though: records that expired in an outage 0.1 s before it raised each VM's share at once.

VmCount keeps each earlier number until it is 15 s old.

--- a/trefoilpier/fleet/__init__.py
+++ b/trefoilpier/fleet/__init__.py
@@ -27,6 +27,7 @@
     StateHandler,
     read_snapshot,
 )
+from trefoilpier.fleet.vm_count import VmCount
 
 __all__ = [
     "GATHERER_SERVICE",
@@ -42,6 +43,7 @@
     "RelayWire",
     "ServiceReach",
     "StateHandler",
+    "VmCount",
     "VmDirectory",
     "VmRecord",
     "can_gather",
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -30,8 +30,6 @@
 
 _WARM_PAUSE_S = 0.5  # Between rounds of opening connections in advance.
 _READY_WAIT_MAX_S = 1.5  # Longest wait for leaves after the first load.
-# Longer than the record of a running VM can be missing from the store.
-_VM_COUNT_DECREASE_DELAY_S = 15.0
 
 
 class TierVm:
@@ -109,7 +107,9 @@
         self._reactor = reactor
         self._on_limits = on_limits
         self._rng = rng
-        self._vm_count = 0
+        self._vm_count = fleet.VmCount(
+            clock=clock, on_change=self._set_vm_count
+        )
         self.stopping = False
         self._store = platform.PlatformStore(
             reactor=reactor,
@@ -348,31 +348,25 @@
                 listed=self._boot.node_id in self._directory.record_by_id
             )
         self._update_shared_limits()
-        count = len(self._selection.selected)
-        if count > self._vm_count:
-            self._set_vm_count()
-        elif count < self._vm_count:
-            # Records may have expired although their VMs are running.
-            self._clock.call_later(
-                _VM_COUNT_DECREASE_DELAY_S, self._set_vm_count
-            )
-        else:
-            self._share_cold_leaves()
+        self._vm_count.update(max(1, len(self._selection.selected)))
+        self._share_cold_leaves()
         if self.is_gatherer():
             self._open_connections()
         else:
             self.request_dispatcher.start()
 
-    def _set_vm_count(self) -> None:
-        self._vm_count = max(1, len(self._selection.selected))
-        self._leaf_registry.set_vm_count(self._vm_count)
-        self._engine.set_vm_count(self._vm_count)
+    def _set_vm_count(self, count: int) -> None:
+        self._leaf_registry.set_vm_count(count)
+        self._engine.set_vm_count(count)
         self._share_cold_leaves()
 
     def _share_cold_leaves(self) -> None:
-        self._leaf_registry.cold_leaves.set_vms(
-            record.id for record in self._selection.selected
-        )
+        """Divide the rates of cold leaves, unless VMs may only be unlisted."""
+        selected = self._selection.selected
+        if len(selected) >= self._vm_count.value:
+            self._leaf_registry.cold_leaves.set_vms(
+                record.id for record in selected
+            )
 
     def _make_state(self) -> fleet.GathererState:
         table = self._engine.table
