EVAC: a late change does not undo an evacuation known from a later one

Evacuations come from the store and from peers, but ends had no revision: a watch that was behind took a zone back that a peer had reported evacuated since, until it had caught up. A read on its way did the same.

Removals carry their revision now, and the later one counts. Revisions known before a restore of the store count for nothing. Evidence in the store is compared likewise.

--- a/trefoilpier/tier/evacuation_sync.py
+++ b/trefoilpier/tier/evacuation_sync.py
@@ -91,22 +91,26 @@
         in_grace = self._clock.monotonic() < self._keep_until
         for zone, known in self._revision_by_zone.items():
             if zone in listed:
-                continue
-            if in_grace:
+                listed[zone] = max(known, listed[zone])
+            elif in_grace:
                 listed[zone] = _KEPT_REVISION
-            elif from_peer and (revision is None or revision < known):
+            elif revision is None or revision < known:
+                # A peer has told of it since the list was made.
                 listed[zone] = known
         self._replace(listed)
 
     def put(self, item: store.Item) -> None:
-        """Apply the evacuation of a zone."""
+        """Apply the evacuation of a zone, unless a later one is known."""
         for zone in self._decode(item.key):
-            self._replace({**self._revision_by_zone, zone: item.revision})
+            if item.revision > self._revision_by_zone.get(zone, _KEPT_REVISION):
+                self._replace({**self._revision_by_zone, zone: item.revision})
 
-    def remove(self, key: str) -> None:
-        """Apply the end of an evacuation."""
+    def remove(self, key: str, revision: int) -> None:
+        """Apply the end of an evacuation, unless a later one is known."""
         self._malformed_keys.discard(key)
         zone = key.removeprefix(platform.EVACUATION_PREFIX)
+        if self._revision_by_zone.get(zone, _KEPT_REVISION) > revision:
+            return
         self._replace(
             {
                 each: revision
@@ -116,7 +120,13 @@
         )
 
     def handle_store_restore(self) -> None:
-        """Keep evacuations that the copy lacks until operators have acted."""
+        """Keep evacuations that the copy lacks until operators have acted.
+
+        Their revisions cannot be compared with those of the restored store.
+        """
+        self._revision_by_zone = dict.fromkeys(
+            self._revision_by_zone, _KEPT_REVISION
+        )
         self._keep_until = self._clock.monotonic() + _RESTORE_GRACE_S
         self._clock.call_later(_RESTORE_GRACE_S, self._drop_kept)
 
@@ -182,8 +192,8 @@
             or revision > known_there
         }
         for zone, revision in report["zones"].items():
-            if revision > known_here and not zones.get(zone):
-                zones[zone] = revision
+            if revision > known_here:
+                zones[zone] = max(revision, zones.get(zone, _KEPT_REVISION))
         changed = self._replace(zones)
         if same_era:
             # Only now, as this VM's own reports state it.
--- a/trefoilpier/tier/quarantine_sync.py
+++ b/trefoilpier/tier/quarantine_sync.py
@@ -108,8 +108,12 @@
             self._written = item.value or b""
         self._merge(item)
 
-    def remove(self, key: str) -> None:
+    def remove(self, key: str, revision: int) -> None:
         """Note that a VM's evidence was deleted, since it has expired."""
+        known = self._item_by_key.get(key)
+        if known is not None and known.revision > revision:
+            # This VM has written it again since.
+            return
         self._item_by_key.pop(key, None)
         if key == self._key:
             self._written = b""
--- a/trefoilpier/tier/store_items.py
+++ b/trefoilpier/tier/store_items.py
@@ -83,8 +83,8 @@
         """Apply a new or changed item."""
 
     @abc.abstractmethod
-    def remove(self, key: str) -> None:
-        """Apply the removal of an item."""
+    def remove(self, key: str, revision: int) -> None:
+        """Apply the removal of an item in a revision of the store."""
 
     def handle_store_restore(self) -> None:  # noqa: B027
         """Handle a restore of the store, before its items are applied."""
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -427,7 +427,7 @@
             if not change.key.startswith(prefix):
                 continue
             if change.item is None:
-                follower.remove(change.key)
+                follower.remove(change.key, change.revision)
             else:
                 follower.put(change.item)
 
--- a/trefoilpier/tier/tests/test_evacuation_sync.py
+++ b/trefoilpier/tier/tests/test_evacuation_sync.py
@@ -47,7 +47,7 @@
         assert harness.replace(item(""), item("z1")) == ["z1"]
         harness.sync.put(item(""))
     assert [fields["key"] for _, fields in harness.log.rows] == ["op/evacuate/"]
-    harness.sync.remove("op/evacuate/z1")
+    harness.sync.remove("op/evacuate/z1", 61)
     assert harness.changes == [{"z1"}, frozenset()]
 
 
@@ -117,6 +117,35 @@
     assert sorted(harness.sync.zones) == ["z2", "z3"]
 
 
+@pytest.mark.parametrize("known", [False, True])
+def test_late_change_undoes_what_a_peer_has_told(harness, known):
+    # Guards against two sources without an order: a watch that is behind
+    # brings the end of an earlier evacuation after a peer's news of the next.
+    if known:
+        harness.sync.put(item("z1", 60))
+    harness.sync.handle_report({"revision": 80, "zones": {"z1": 75}}, era=1)
+    key = platform.EVACUATION_PREFIX + "z1"
+    harness.sync.put(item("z1", 60))
+    harness.sync.remove(key, 70)
+    assert sorted(harness.sync.zones) == ["z1"]
+    # So does a read that was on its way.
+    assert harness.replace(revision=70) == ["z1"]
+    assert harness.replace(item("z1", 60), revision=70) == ["z1"]
+    assert harness.changes == [{"z1"}]
+    harness.sync.remove(key, 81)
+    assert sorted(harness.sync.zones) == []
+
+
+def test_change_of_a_restored_store_counts_as_late(harness):
+    # Guards against revisions of the era before, which are higher.
+    harness.replace(item("z1", 60), revision=60)
+    harness.sync.handle_store_restore()
+    harness.position = store_items.StorePosition(era=2, revision=30)
+    assert harness.replace(item("z1", 20), revision=30) == ["z1"]
+    harness.sync.remove(platform.EVACUATION_PREFIX + "z1", 31)
+    assert harness.changes[-1] == frozenset()
+
+
 def make_state(**changes):
     state = fleet.GathererState(
         version=4,
