EVAC: a VM's position is that of the items that it has applied

Peers take an evacuation that a VM lacks for ended if it began below the VM's position. Three ways led to a position above the items: a slow read after the items of a peer, the items of a peer that is behind, and items labelled with an earlier state of the peer, of another era after a restore.

A second watch in a row that misses changes leads to a complete read; before, the store was asked ten times a second and accounts stayed unconfirmed.

--- a/trefoilpier/fleet/__init__.py
+++ b/trefoilpier/fleet/__init__.py
@@ -20,13 +20,14 @@
 from trefoilpier.fleet.relay import RelayHandler, RelayWire, relay_table
 from trefoilpier.fleet.role import can_gather, gatherers_max
 from trefoilpier.fleet.selection import GathererSelection
-from trefoilpier.fleet.state_handler import (
+from trefoilpier.fleet.snapshot import (
     SNAPSHOT_ENCODING,
     SNAPSHOT_PATH,
-    GathererState,
-    StateHandler,
+    Snapshot,
+    SnapshotPosition,
     read_snapshot,
 )
+from trefoilpier.fleet.state_handler import GathererState, StateHandler
 from trefoilpier.fleet.vm_count import VmCount
 
 __all__ = [
@@ -42,6 +43,8 @@
     "RelayHandler",
     "RelayWire",
     "ServiceReach",
+    "Snapshot",
+    "SnapshotPosition",
     "StateHandler",
     "VmCount",
     "VmDirectory",
--- a/trefoilpier/fleet/state_handler.py
+++ b/trefoilpier/fleet/state_handler.py
@@ -2,7 +2,6 @@
 
 import math
 import urllib.parse
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field, fields, replace
 from typing import Any
@@ -11,7 +10,7 @@
 import orjson
 
 from trefoilpier import base, http1
-from trefoilpier.fleet import directory, leaf_reports
+from trefoilpier.fleet import directory, leaf_reports, snapshot
 
 # A poll without a change is answered after this time. A missing response shows
 # that the VM is frozen, unreachable or dead.
@@ -25,8 +24,6 @@
 # Parameter of polls that read reports of slow leaves: the generation of those
 # that the poll knows.
 REPORTS_PARAMETER = "reports"
-SNAPSHOT_PATH = b"/snapshot"
-SNAPSHOT_ENCODING = b"deflate"
 # In answers to polls while revocation of keys is strict: milliseconds from the
 # moment at which the VM's accounts were known to be current to the arrival of
 # the poll; negative if that moment came while the poll was held.
@@ -34,7 +31,6 @@
 _JSON_HEADER = (b"content-type", b"application/json")
 # Fields of a state that are left out if there is nothing to say.
 _OPTIONAL_FIELDS = ("evacuations", "leaf_reports")
-_COMPRESSION_LEVEL = 1  # The fastest.
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -255,15 +251,14 @@
         *,
         clock: base.Clock,
         make_state: Callable[[], GathererState],
-        make_snapshot: Callable[[], bytes],
+        make_snapshot: Callable[[], snapshot.Snapshot],
     ) -> None:
         """Initialize the handler.
 
         Args:
             clock: Source of timers.
             make_state: Returns the state of this VM.
-            make_snapshot: Returns this VM's copy of the store's items, encoded
-                as JSON.
+            make_snapshot: Returns this VM's copy of the store's items.
         """
         self._clock = clock
         self._make_state = make_state
@@ -275,8 +270,8 @@
     def handle(self, exchange: http1.Exchange) -> None:
         """Answer a poll at once if the state differs, otherwise later."""
         path, _, query = exchange.request.target.partition(b"?")
-        if path == SNAPSHOT_PATH:
-            _respond_snapshot(exchange, self._make_snapshot())
+        if path == snapshot.SNAPSHOT_PATH:
+            snapshot.respond_snapshot(exchange, self._make_snapshot())
             return
         handler = self.handler_by_path.get(path)
         if handler is not None:
@@ -362,38 +357,3 @@
     if not value.removeprefix(b"-").isdigit():
         return None
     return sent_at - int(value) / 1000
-
-
-def _respond_snapshot(exchange: http1.Exchange, data: bytes) -> None:
-    """Send a snapshot, compressed if the VM that asks can read that.
-
-    Entries of leaves resemble each other, and fleets pay for bytes between
-    zones.
-    """
-    accepted = http1.find_header(exchange.request.headers, b"accept-encoding")
-    if accepted != SNAPSHOT_ENCODING:
-        exchange.respond(
-            http1.HttpResponse(status=200, headers=[_JSON_HEADER], body=data)
-        )
-        return
-    exchange.respond(
-        http1.HttpResponse(
-            status=200,
-            headers=[
-                _JSON_HEADER,
-                (b"content-encoding", SNAPSHOT_ENCODING),
-            ],
-            body=zlib.compress(data, _COMPRESSION_LEVEL),
-        )
-    )
-
-
-def read_snapshot(response: http1.HttpResponse) -> bytes:
-    """Return the body of a snapshot; empty if it cannot be decompressed."""
-    encoding = http1.find_header(response.headers, b"content-encoding")
-    if encoding != SNAPSHOT_ENCODING:
-        return response.body
-    try:
-        return zlib.decompress(response.body)
-    except zlib.error:
-        return b""
--- a/trefoilpier/fleet/tests/test_relay.py
+++ b/trefoilpier/fleet/tests/test_relay.py
@@ -61,7 +61,7 @@
         self.state_handler = fleet.StateHandler(
             clock=harness.clock,
             make_state=lambda: self.state(harness),
-            make_snapshot=lambda: b"[]",
+            make_snapshot=lambda: fleet.Snapshot(data=b"[]", position=None),
         )
         relay_handler = fleet.RelayHandler(engine=self.engine)
         for port, handler in (
--- a/trefoilpier/fleet/tests/test_state_polls.py
+++ b/trefoilpier/fleet/tests/test_state_polls.py
@@ -9,6 +9,8 @@
 from trefoilpier import base, fleet, http1, replicas, store
 from trefoilpier.fleet import directory, state_handler
 
+POSITION = fleet.SnapshotPosition(era=2, revision=7, current=True)
+
 
 class UnusedStore(store.KeyValueStore):
     """Store that is never read, since the records are given."""
@@ -42,7 +44,9 @@
         self.handler = fleet.StateHandler(
             clock=harness.clock,
             make_state=self._state,
-            make_snapshot=lambda: b"[]" * 500,
+            make_snapshot=lambda: fleet.Snapshot(
+                data=b"[]" * 500, position=POSITION
+            ),
         )
         harness.net.listen(
             self.record.host,
@@ -170,13 +174,14 @@
     bodies = []
     for headers in ([], [(b"accept-encoding", fleet.SNAPSHOT_ENCODING)]):
         client.send_request(
-            b"GET", state_handler.SNAPSHOT_PATH, headers=headers, timeout_s=1.0
+            b"GET", fleet.SNAPSHOT_PATH, headers=headers, timeout_s=1.0
         ).addCallback(lambda outcome: bodies.append(outcome.response))
         harness.clock.advance(0.1)
     assert len(bodies[1].body) < len(bodies[0].body) / 4
     assert fleet.read_snapshot(bodies[0]) == fleet.read_snapshot(bodies[1])
+    assert fleet.read_snapshot(bodies[0]).position == POSITION
     bodies[1].body = b"damaged"
-    assert fleet.read_snapshot(bodies[1]) == b""
+    assert fleet.read_snapshot(bodies[1]).data == b""
 
 
 def test_vms_that_have_gone_are_forgotten():
--- a/trefoilpier/tier/peer_sync.py
+++ b/trefoilpier/tier/peer_sync.py
@@ -112,16 +112,18 @@
         if isinstance(outcome, http1.RequestFailed):
             self._reject(record, outcome.reason)
             return
-        items = decode_items(fleet.read_snapshot(outcome.response))
+        snapshot = fleet.read_snapshot(outcome.response)
+        items = decode_items(snapshot.data)
         if not items:
             # Applied, it would remove every leaf.
             self._reject(record, "snapshot is empty or malformed")
             return
+        position = snapshot.position or _position_of_state(state, items)
         self._store_sync.apply_peer_items(
             items,
-            era=state.era,
-            complete=state.current,
-            revision=state.store_revision,
+            era=position.era,
+            complete=position.current,
+            revision=position.revision,
         )
         self._applied_tag_by_peer = {record.id: tag}
         self._log.emit(
@@ -138,6 +140,23 @@
         self._log.emit(base.Event.PEER_REJECTED, peer=record.id, reason=reason)
 
 
+def _position_of_state(
+    state: fleet.GathererState, items: list[store.Item]
+) -> fleet.SnapshotPosition:
+    """Return the position of the items of a VM of an earlier release.
+
+    If it follows the store, it has seen at least the newest change among them.
+    """
+    revision = 0
+    if state.current:
+        revision = max(
+            [state.store_revision, *(item.revision for item in items)]
+        )
+    return fleet.SnapshotPosition(
+        era=state.era, revision=revision, current=state.current
+    )
+
+
 def encode_items(items: list[store.Item]) -> bytes:
     """Encode items as JSON.
 
--- a/trefoilpier/tier/store_sync.py
+++ b/trefoilpier/tier/store_sync.py
@@ -47,6 +47,7 @@
         "_follower_by_prefix",
         "_items_by_key",
         "_log",
+        "_missed_changes",
         "_outage_reported",
         "_on_confirmed",
         "_on_members",
@@ -120,6 +121,7 @@
         self.last_call_failed = False
         self._outage_reported = False
         self._failed_since_load = False
+        self._missed_changes = False  # Whether the last watch did.
         self._short_watches_until = 0.0
         self._pause_s = _RETRY_PAUSE_MIN_S
         self.loaded = False
@@ -160,7 +162,7 @@
             self._failed_since_load = True
             await self._on_read_failed(read.error)
             return 0
-        self._failed_since_load = False
+        self._failed_since_load = self._missed_changes = False
         self._on_call_succeeded()
         snapshot = read.ok
         if self.is_later_era_than(snapshot.era):
@@ -240,13 +242,14 @@
         self._registry.replace_all(leaves, from_peer=from_peer)
 
     def _publish(self, revision: int) -> None:
-        """Note that all changes up to a revision have been applied.
+        """Note that the items are those of a revision, and applied.
 
-        Only this method raises the position: peers take what a VM does not
-        have below its position for ended.
+        Only this method sets the revision: peers take what a VM does not have
+        below its position for ended. A complete read may lower it, since items
+        of a peer may have come while the read was on its way.
         """
         self.position = store_items.StorePosition(
-            era=self.era, revision=max(self.revision, revision)
+            era=self.era, revision=revision
         )
         self._on_members()
 
@@ -261,31 +264,35 @@
         """Apply the items of a peer.
 
         Newer routes are always applied; all other items only while this VM
-        cannot follow the store, and not if they are of an earlier era.
+        cannot follow the store, and not if they are older than its own.
 
         Args:
             items: The items.
             era: Era in which the peer read them; None if unknown.
             complete: Whether the peer could follow the store.
-            revision: Revision up to which it has followed the store, as far as
-                it has told.
+            revision: Revision up to which all changes are among them.
         """
-        if self.current or self.is_later_era_than(era):
+        if self.current or self._is_later_than(era, revision):
             for item in items:
                 if item.key == platform.ROUTES_KEY:
                     self._apply_routes(item)
             return
         if era is not None:
             self._update_era(era)
-        # The peer has seen at least the newest change among them.
-        revision = max([revision, *(item.revision for item in items)])
         self._items_by_key = {item.key: item for item in items}
         self._apply_items(
             from_peer=True, revision=revision if complete else None
         )
-        self._publish(revision if complete else 0)
+        self._publish(revision)
         self._mark_loaded()
 
+    def _is_later_than(self, era: int | None, revision: int) -> bool:
+        """Return whether the items are later than those of a position."""
+        if self.is_later_era_than(era):
+            return True
+        same_era = era is None or self.era is None or era == self.era
+        return same_era and revision < self.revision
+
     def is_later_era_than(self, era: int | None) -> bool:
         """Return whether the items are of a later era than the given one."""
         return self.position.is_later_era_than(era)
@@ -351,8 +358,8 @@
             self._failed_since_load = True
             return 0
         # The watch covers all keys, so that changes are missing if the store is
-        # ahead of the last one: they are asked for again, or are known to be
-        # gone then.
+        # ahead of the last one. They are asked for again, and if that brings
+        # them neither, everything is read.
         applied = max([revision, *(each.revision for each in seen.ok.changes)])
         self._apply_changes(seen.ok.changes, applied)
         if applied < seen.ok.revision:
@@ -362,7 +369,9 @@
                 revision=seen.ok.revision,
             )
             await self._sleep(_RETRY_PAUSE_MIN_S)
-            return applied
+            missed_before, self._missed_changes = self._missed_changes, True
+            return 0 if missed_before else applied
+        self._missed_changes = False
         self._on_confirmed(self._clock.monotonic())
         if seen.ok.changes:
             await self._sleep(_CHANGE_BATCH_PAUSE_S)
--- a/trefoilpier/tier/tests/test_peer_sync.py
+++ b/trefoilpier/tier/tests/test_peer_sync.py
@@ -3,10 +3,12 @@
 import random
 
 import expression
+import pytest
 from twisted.internet import defer
 
 from standins import memory_net
 from trefoilpier import base, fleet, http1, platform, replicas, store
+from trefoilpier.fleet import snapshot
 from trefoilpier.tier import peer_sync, store_sync
 
 PEER = fleet.VmRecord(
@@ -59,6 +61,7 @@
         self.clock = base.VirtualClock()
         net = memory_net.MemoryReactor(clock=self.clock)
         self.peer_items = peer_items
+        self.peer_position = None
         self.fetches = 0
         net.listen(
             PEER.host,
@@ -95,13 +98,20 @@
 
     def handle(self, exchange):
         self.fetches += 1
-        body = peer_sync.encode_items(self.peer_items)
-        exchange.respond(http1.HttpResponse(status=200, body=body))
+        snapshot.respond_snapshot(
+            exchange,
+            fleet.Snapshot(
+                data=peer_sync.encode_items(self.peer_items),
+                position=self.peer_position,
+            ),
+        )
 
     def rejected(self, status, reason):
         raise AssertionError(reason)
 
-    def report_state(self, version, current=True, generation=1, wait_s=1.5):
+    def report_state(
+        self, version, current=True, generation=1, wait_s=1.5, **fields
+    ):
         self.peer_syncer.handle_state(
             PEER,
             fleet.GathererState(
@@ -112,6 +122,7 @@
                 vm_generation=0,
                 leaf_generation=generation,
                 vms=[],
+                **fields,
             ),
         )
         self.clock.advance(wait_s)
@@ -181,6 +192,28 @@
     assert harness.leaf_ids() == ["a"]
 
 
+@pytest.mark.parametrize(
+    ("position", "expected"),
+    [
+        # Restored since the state was reported.
+        (fleet.SnapshotPosition(era=2, revision=6, current=True), (2, 6)),
+        # A VM of an earlier release, which states no position.
+        (None, (1, 40)),
+    ],
+)
+def test_items_are_labelled_with_the_position_of_an_earlier_state(
+    position, expected
+):
+    # Guards against items of a restored store that pass for later ones of the
+    # era before, so that what they lack counts as ended.
+    harness = PeerSyncHarness(None, [routes_item(4), leaf_item("a")])
+    harness.peer_position = position
+    harness.report_state(
+        4, era=1, evacuations={"revision": 40, "zones": {"z9": 31}}
+    )
+    assert (harness.sync.era, harness.sync.revision) == expected
+
+
 def test_change_during_a_fetch_from_the_same_peer_is_lost():
     harness = PeerSyncHarness(None, [routes_item(4), leaf_item("a")])
     # Until the peer has answered with its first items.
--- a/trefoilpier/tier/tests/test_store_restore.py
+++ b/trefoilpier/tier/tests/test_store_restore.py
@@ -294,10 +294,11 @@
     harness.model.faults.down = True
     harness.clock.advance(6.0)
     assert not harness.sync.current
-    harness.sync.apply_peer_items(items, era=1)
+    revision = harness.sync.revision
+    harness.sync.apply_peer_items(items, era=1, revision=revision)
     harness.clock.advance(3.0)
     assert harness.usable_leaves() == ["a", "b", "c"]
-    harness.sync.apply_peer_items(items, era=2)
+    harness.sync.apply_peer_items(items, era=2, revision=revision)
     harness.clock.advance(3.0)
     assert harness.usable_leaves() == ["a", "b"]
 
--- a/trefoilpier/tier/tests/test_store_sync.py
+++ b/trefoilpier/tier/tests/test_store_sync.py
@@ -214,6 +214,58 @@
     assert confirmed
 
 
+def test_store_that_keeps_naming_changes_is_asked_for_ever(harness):
+    # Guards against ten calls a second, and accounts that are never confirmed,
+    # at a store that names a revision whose changes it no longer reports.
+    confirmed = []
+    harness.sync.start()
+    harness.sync._on_confirmed = confirmed.append
+    harness.store.put("servers/e", leaf_value())
+    for _ in range(2):
+        harness.store.complete_watch()
+        harness.clock.advance(0.2)
+    assert harness.store.reads == 2
+    assert harness.sync.revision == harness.store.revision
+    assert "e" in harness.leaf_ids()
+    assert confirmed
+
+
+def test_read_older_than_the_items_of_a_peer_keeps_their_revision(harness):
+    # Guards against a position of a peer's items over those of a slow read:
+    # peers would take what the read lacks for ended.
+    harness.sync.start()
+    harness.store.up = False
+    harness.store.fail_watch()
+    harness.clock.advance(0.5)
+    later = harness.store.revision + 20
+    harness.store.put("servers/e", leaf_value())
+    peer_items = list(harness.store.items.values())
+    harness.sync.apply_peer_items(peer_items, revision=later)
+    assert harness.sync.revision == later
+    del harness.store.items["servers/e"]
+    harness.store.up = True
+    harness.clock.advance(2.0)
+    assert harness.sync.current
+    assert harness.sync.revision == harness.store.revision < later
+
+
+def test_items_of_a_peer_that_is_behind_are_applied(harness):
+    # Guards against the return of older items, with the revision of newer ones.
+    harness.sync.start()
+    behind = list(harness.store.items.values())
+    revision = harness.store.revision
+    harness.store.put("servers/e", leaf_value())
+    harness.store.complete_watch("servers/e")
+    harness.store.up = False
+    harness.clock.advance(0.6)
+    harness.store.fail_watch()
+    harness.clock.advance(0.5)
+    harness.sync.apply_peer_items(behind, revision=revision)
+    harness.clock.advance(3.0)
+    assert "e" in harness.leaf_ids()
+    assert harness.sync.revision == revision + 1
+
+
 def test_older_version_is_ignored(harness):
     harness.sync.start()
     harness.store.put(platform.ROUTES_KEY, ROUTES % 7)
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -210,9 +210,7 @@
         self.state_handler = fleet.StateHandler(
             clock=clock,
             make_state=self._make_state,
-            make_snapshot=lambda: peer_sync.encode_items(
-                self._evacuation_sync.add_missing_items(self._store_sync.items)
-            ),
+            make_snapshot=self._make_snapshot,
         )
         self.state_handler.get_confirmed_at = self._confirmation.for_peers
         self._reach = fleet.ServiceReach(
@@ -398,6 +396,18 @@
             ),
         )
 
+    def _make_snapshot(self) -> fleet.Snapshot:
+        items = self._evacuation_sync.add_missing_items(self._store_sync.items)
+        position = self._store_sync.position
+        return fleet.Snapshot(
+            data=peer_sync.encode_items(items),
+            position=fleet.SnapshotPosition(
+                era=position.era,
+                revision=position.revision,
+                current=self._store_sync.current,
+            ),
+        )
+
     def _handle_gatherer_state(
         self, record: fleet.VmRecord, state: fleet.GathererState
     ) -> None:
