--- a/trefoilpier/fleet/gatherers.py
+++ b/trefoilpier/fleet/gatherers.py
@@ -36,7 +36,8 @@
     learn of changes that it has not received from the store, and to have a way
     to leaves that it does not reach itself. While a preferred gatherer has lost
     contact with services, others are polled too, and requests go to those that
-    have lost the fewest.
+    have lost the fewest. Gatherers that are shutting down get requests only
+    while no other one is up.
 
     Attributes:
         read_failed: Whether the last read of the list of gatherers failed.
@@ -142,7 +143,15 @@
 
     @property
     def usable(self) -> bool:
-        """Whether any polled gatherer is up and routes are in force there."""
+        """Whether any polled gatherer takes requests."""
+        return self.version > 0 and any(
+            poller.up or poller.leaving
+            for poller in self._poller_by_id.values()
+        )
+
+    @property
+    def lasting(self) -> bool:
+        """Whether any polled gatherer takes requests and will go on so."""
         return self.version > 0 and any(
             poller.up for poller in self._poller_by_id.values()
         )
@@ -162,10 +171,10 @@
         )
 
     async def _discover(self) -> None:
-        """Read the list of gatherers from the store while none is usable."""
+        """Read the list of gatherers from the store while none is lasting."""
         retry_pause_s = _DISCOVERY_PAUSE_S
         while True:
-            if self.usable:
+            if self.lasting:
                 retry_pause_s = _DISCOVERY_PAUSE_S
             else:
                 retry_pause_s = min(_DISCOVERY_PAUSE_MAX_S, 1.3 * retry_pause_s)
@@ -179,7 +188,7 @@
                     retry_pause_s = min(
                         _DISCOVERY_FAILED_PAUSE_MAX_S, retry_pause_s
                     )
-            pause_s = _DISCOVERY_PAUSE_MAX_S if self.usable else retry_pause_s
+            pause_s = _DISCOVERY_PAUSE_MAX_S if self.lasting else retry_pause_s
             await self.sleep(pause_s * self._rng.uniform(0.8, 1.2))
 
     def _apply_items(self, items: list[store.Item]) -> None:
@@ -225,10 +234,16 @@
     def _update_targets(self) -> None:
         """Send requests to the gatherers that have lost the fewest services."""
         lowest_lost_count = self.lowest_lost_count
+        pollers = self._poller_by_id.values()
+        targets = [
+            poller
+            for poller in pollers
+            if poller.up and poller.lost_count <= lowest_lost_count
+        ]
         self._registry.replace_all(
             poller.record.to_leaf_entry()
-            for poller in self._poller_by_id.values()
-            if poller.up and poller.lost_count <= lowest_lost_count
+            for poller in targets
+            or [poller for poller in pollers if poller.leaving]
         )
 
     def _select_preferred(self) -> dict[str, directory.VmRecord]:
@@ -287,6 +302,7 @@
         """Process a state received from a gatherer."""
         if state.version > self.version:
             self.version = state.version
+        poller.leaving = False
         if not poller.up:
             poller.up = True
             self._down.remove(poller.record.id)
@@ -343,14 +359,14 @@
         """
         vm_id = poller.record.id
         self._down.put(vm_id, True)
-        if not poller.up:
+        if not poller.up and poller.leaving is leaving:
             return
         poller.up = False
+        poller.leaving = leaving
         self._log.emit(base.Event.PEER_LOST, peer=vm_id, leaving=leaving)
         pool = self._registry.pool_by_id.get(vm_id)
         if pool is not None and not leaving:
             pool.close_connections()
-        self._registry.remove_leaf(vm_id)
         self._update_pollers()
 
     def sleep(self, seconds: float) -> "defer.Deferred[None]":
--- a/trefoilpier/fleet/relay.py
+++ b/trefoilpier/fleet/relay.py
@@ -209,14 +209,19 @@
         """Serve the request, or refuse it with status 421.
 
         It is refused if the routes in force are older than the version that
-        the relaying VM requires, or if this VM is shutting down.
+        the relaying VM requires, or if this VM shuts down and may end before
+        the request does: another gatherer may serve it.
         """
         headers = exchange.request.headers
         version_text = http1.find_header(headers, _MIN_VERSION_HEADER) or b"0"
         table = self._engine.table
         version = table.version if table is not None else 0
         required_version = int(version_text) if version_text.isdigit() else 0
-        if table is None or version < required_version or self._engine.draining:
+        if (
+            table is None
+            or version < required_version
+            or not self._engine.outlasts(exchange.request)
+        ):
             exchange.respond(
                 http1.HttpResponse(
                     status=_STATUS_MISDIRECTED, headers=[(_BEHIND_HEADER, b"1")]
--- a/trefoilpier/fleet/state_poller.py
+++ b/trefoilpier/fleet/state_poller.py
@@ -69,9 +69,10 @@
 
     Attributes:
         active: Whether polling goes on.
+        leaving: Whether it answers and is shutting down.
         lost_count: Services that the gatherer has lost contact with.
         record: Record of the gatherer.
-        up: Whether it answers.
+        up: Whether it answers and is not shutting down.
         version: Version of its routes.
         vms: Gatherers that it has reported.
     """
@@ -84,6 +85,7 @@
         "_tracked",
         "_watch",
         "active",
+        "leaving",
         "lost_count",
         "record",
         "up",
@@ -108,6 +110,7 @@
         self.record = record
         self._tracked = False
         self.active = True
+        self.leaving = False
         self.up = False
         self.lost_count = 0
         self.version = 0
--- a/trefoilpier/forward/engine.py
+++ b/trefoilpier/forward/engine.py
@@ -122,10 +122,14 @@
         if previous is not None and table is not None:
             self._states.drop_unused(previous, table)
 
-    @property
-    def draining(self) -> bool:
-        """Whether the VM is shutting down."""
-        return self._admission.stop_times is not None
+    def outlasts(self, request: http1.HttpRequest) -> bool:
+        """Return whether the VM surely runs until a caller's deadline."""
+        stop_times = self._admission.stop_times
+        if stop_times is None:
+            return True
+        wait_s = self.wire.read_metadata(request).wait_s
+        now = self.clock.monotonic()
+        return wait_s is not None and now + wait_s <= stop_times.answer_by
 
     def begin_stop(
         self, times: stopping.StopTimes, *, estimates_end: bool = True
--- a/trefoilpier/tier/dispatcher.py
+++ b/trefoilpier/tier/dispatcher.py
@@ -8,8 +8,8 @@
 
 from trefoilpier import base, fleet, forward, http1
 
-# After this time without a usable gatherer, the VM starts to follow the store
-# and sends requests to leaves itself.
+# After this time without a gatherer that goes on, the VM starts to follow the
+# store. It sends requests to leaves itself once none is left.
 _FALLBACK_DELAY_S = 1.5
 _FALLBACK_CHECK_PAUSE_S = 0.5
 
@@ -114,7 +114,7 @@
     def _check_fallback(self) -> None:
         """Start to follow the store if no gatherer has been usable for long."""
         now = self._clock.monotonic()
-        if self._relay.watch.usable or self._is_gatherer():
+        if self._relay.watch.lasting or self._is_gatherer():
             self._no_gatherer_since = now
         elif (
             not self._store_sync_started
--- a/trefoilpier/tier/tests/test_graceful_stop.py
+++ b/trefoilpier/tier/tests/test_graceful_stop.py
@@ -98,6 +98,49 @@
     assert_all_that_ran_are_answered(fleet)
 
 
+@pytest.mark.parametrize("request_kind", [_UNSAFE, _SAFE, _GATHERED])
+def test_only_gatherer_refuses_relayed_requests_from_its_stop_on(
+    tmp_path, request_kind
+):
+    # Guards against refusals at the VMs that relay to it, which find no other
+    # gatherer and do not follow the store yet.
+    fleet = make_fleet(tmp_path, large=1, small=1, work_s=0.1)
+    gatherer, relaying = fleet.vms
+    fleet.send_request(*_SAFE, vm=relaying)
+    fleet.clock.advance(2.0)
+    assert relaying.process.request_dispatcher.is_relaying
+    fleet.answers.clear()
+    gatherer.terminate()
+    while gatherer.process is not None:
+        fleet.send_request(*request_kind, vm=relaying)
+        fleet.clock.advance(_PERIOD_S)
+    for _ in range(40):
+        fleet.send_request(*request_kind, vm=relaying)
+        fleet.clock.advance(_PERIOD_S)
+    fleet.clock.advance(2.0)
+    assert_all_that_ran_are_answered(fleet)
+    statuses = [each.status for each in fleet.answers]
+    # While the relaying VM takes over, some may be refused or lost.
+    assert statuses.count(200) > 0.95 * len(statuses)
+
+
+def test_relayed_request_that_may_outlast_the_gatherer_goes_elsewhere(tmp_path):
+    # Guards against refusals by a stopping gatherer that another could serve.
+    fleet = make_fleet(tmp_path, large=2, small=1, work_s=0.1)
+    relaying = fleet.vms[2]
+    fleet.send_request(*_SAFE, vm=relaying)
+    fleet.clock.advance(2.0)
+    fleet.answers.clear()
+    fleet.vms[0].terminate()
+    for _ in range(120):
+        fleet.send_request(*_UNSAFE, vm=relaying)
+        fleet.send_request(*_SAFE, vm=fleet.vms[0])
+        fleet.clock.advance(_PERIOD_S)
+    fleet.clock.advance(2.0)
+    relayed = [each for each in fleet.answers if each.vm == relaying.name]
+    assert {each.status for each in relayed} == {200}
+
+
 def test_refused_callers_of_a_stopping_vm_are_told_when_to_return(tmp_path):
     # Guards against refusals without a time, with a time that is over before
     # another process runs, or on a connection that stays open.
