The pause before a request's body has the time limit to itself

A caller who took 1.5 s of 2 s for its headers got a 408 after another 0.5 s without a body: the limit on the pause counted from the first byte. Seen in the code by the review. The new test failed before.

--- a/trefoilpier/http1/server.py
+++ b/trefoilpier/http1/server.py
@@ -195,6 +195,8 @@
     def on_headers_complete(self) -> None:
         """Validate the request line and headers before the body arrives."""
         self._in_headers = False
+        # The pause before the body has a limit of its own.
+        self._wait_started_at = self._factory.clock.monotonic()
         size = len(self._target) + sum(
             len(name) + len(value) + 4 for name, value in self._headers
         )
--- a/trefoilpier/http1/tests/test_server.py
+++ b/trefoilpier/http1/tests/test_server.py
@@ -183,6 +183,18 @@
     assert harness.handler.requests == []
 
 
+def test_pause_before_the_body_counts_from_the_first_byte():
+    # Guards against a 408 for a caller who took some time for the headers and
+    # some for the body, each below the limit.
+    harness = ServerHarness(header_timeout_s=2.0)
+    client = harness.connect()
+    harness.send(client, b"POST /a HTTP/1.1\r\nHost: h\r\n", 1.5)
+    harness.send(client, b"Content-Length: 5\r\n\r\n", 1.5)
+    harness.send(client, b"abcde", 0.1)
+    assert len(harness.handler.requests) == 1
+    assert 408 not in client.statuses()
+
+
 @pytest.mark.parametrize(
     "start",
     [
