GONE: a caller that leaves is followed 0.3 s later over a relay, too

Calls go on for 0.3 s after their request has ended, so that those that complete keep their connection. The relaying VM and the gatherer both waited, and leaves worked on for 0.6 s after a caller had left; the bound is half a second. Seen in the code by the review.

Relaying VMs cancel at once, and the gatherer waits as before. The cost is a new connection between two VMs for each caller that leaves.

--- a/trefoilpier/fleet/tests/test_relay.py
+++ b/trefoilpier/fleet/tests/test_relay.py
@@ -6,7 +6,7 @@
 import pytest
 from twisted.internet import defer
 
-from standins import memory_net, memory_tier
+from standins import memory_fleet, memory_net, memory_tier, opaque_caller
 from trefoilpier import base, fleet, forward, http1, platform, replicas, store
 from trefoilpier.tier import dispatcher
 
@@ -318,3 +318,41 @@
     )
     headers = wire.forwarded_headers(request, None)
     assert (b"trefoilpier-network-us", b"9000") in headers
+
+
+@pytest.mark.parametrize("direct", [True, False])
+def test_caller_that_leaves_a_relaying_vm_is_followed_late(tmp_path, direct):
+    # Guards against delays that add up: each VM on the way let calls go on for
+    # a while, and leaves may not work on for over half a second.
+    made = memory_fleet.MemoryFleet(
+        directory=tmp_path,
+        log=base.NullEventLog(),
+        sizes=memory_fleet.FleetSizes(
+            large=1, small=1, zones=1, shards=2, work_s=3.0
+        ),
+    )
+    made.start_all()
+    made.clock.advance(3.0)
+    gatherer, relaying = made.vms
+    client = http1.HttpClient(
+        reactor=made._net,
+        clock=made.clock,
+        host=(gatherer if direct else relaying).host,
+        port=memory_fleet.CALLER_PORT,
+    )
+    headers = [
+        (b"host", b"soak.example"),
+        *opaque_caller.attempt_headers(b"1", 1.5),
+    ]
+    opened_before = len(made._net.transports)
+    client.send_request(b"GET", b"/g/1", headers=headers, timeout_s=2.0)
+    pools = gatherer.process._leaf_registry.pool_by_id.values()
+
+    def calls_in_flight():
+        return sum(pool.stats.in_flight for pool in pools)
+
+    made.clock.advance(0.2)
+    assert calls_in_flight() >= 2
+    made._net.transports[opened_before].abortConnection()
+    made.clock.advance(0.4)
+    assert calls_in_flight() == 0
--- a/trefoilpier/tier/components.py
+++ b/trefoilpier/tier/components.py
@@ -1,5 +1,6 @@
 """Engines, registries and relay paths of one VM."""
 
+import dataclasses
 import random
 from collections.abc import Callable
 from typing import Any
@@ -79,6 +80,7 @@
         reuse: replicas.ReusePolicy | None = None,
         gate: quarantine.QuarantineGate | None = None,
         end_observer: replicas.LeafEndObserver | None = None,
+        policy: forward.ForwardPolicy | None = None,
     ) -> tuple[forward.ForwardEngine, replicas.LeafRegistry]:
         """Create an engine and the registry of the leaves that it asks.
 
@@ -88,6 +90,7 @@
             reuse: Limits on the reuse of idle connections; None for defaults.
             gate: Admission by the evidence against requests; None for none.
             end_observer: Receives the ends of leaves; None for none.
+            policy: Settings of the decisions; None for those of the VM.
         """
         engine = forward.ForwardEngine(
             clock=self._clock,
@@ -99,7 +102,7 @@
                 policy=self._policy.leaves,
             ),
             budget_limits=budget,
-            forward_policy=self._policy,
+            forward_policy=policy or self._policy,
             gate=gate,
         )
         registry = replicas.LeafRegistry(
@@ -138,7 +141,11 @@
         """
         relay_wire = fleet.RelayWire(wire=wire)
         engine, registry = self.make_engine(
-            relay_wire, _RELAY_BUDGET, reuse=_RELAY_REUSE_POLICY
+            relay_wire,
+            _RELAY_BUDGET,
+            reuse=_RELAY_REUSE_POLICY,
+            # The gatherer lets its own calls go on for a while.
+            policy=dataclasses.replace(self._policy, cancel_delay_s=0.0),
         )
         registry.set_connection_limits(
             {fleet.GATHERER_SERVICE: _RELAY_CONNECTIONS_MAX}
