Calls cancelled before a leaf's end are evidence of the time of that end

Popular requests were barred for 60 s at all gatherers after one crash of many leaves that held them up.

Cause: calls cancelled within a second before the end of a leaf kept the time of their cancellation as that of the leaf's end, so that one crash looked like two runs that followed each other, which bars a request.

Ruled out: that the end is noticed at different times; no leaf ended then.

--- a/trefoilpier/replicas/ends.py
+++ b/trefoilpier/replicas/ends.py
@@ -7,7 +7,7 @@
 """
 
 import abc
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from trefoilpier.replicas import call as calls
 from trefoilpier.replicas import entry as entries
@@ -30,7 +30,8 @@
         identity: What the request has in common with each repeat of it.
         request_id: Id of the caller's attempt.
         sent_at: Monotonic time of sending.
-        ended_at: Monotonic time at which its connection was lost.
+        ended_at: Monotonic time at which its connection was lost, or of a
+            cancelled call, at which it was cancelled.
     """
 
     identity: calls.RequestIdentity
@@ -222,8 +223,10 @@
         if not running:
             return
         ended_at = min(each.ended_at for each in running)
+        # The leaf may have run them until its end. With the times of their
+        # cancellation, one crash of many leaves would look like several.
         running += [
-            each
+            replace(each, ended_at=ended_at)
             for each in self._cancelled
             if abs(ended_at - each.ended_at) < _CANCELLED_MAX_S
         ]
--- a/trefoilpier/replicas/tests/test_ends.py
+++ b/trefoilpier/replicas/tests/test_ends.py
@@ -15,11 +15,14 @@
 
     def __init__(self):
         self.ends = []
+        self.ended_at_by_id = {}
         self.alive_count = 0
 
     def handle_end(self, ended, running, evidence):
         ids = sorted(call.request_id for call in running)
         self.ends.append((ids, evidence))
+        for call in running:
+            self.ended_at_by_id[call.request_id] = call.ended_at
 
     def handle_alive(self, alive):
         self.alive_count += 1
@@ -28,7 +31,7 @@
 class Harness:
     """One leaf with its pool."""
 
-    def __init__(self):
+    def __init__(self, work_s=0.1):
         self.clock = base.VirtualClock(start=100.0)
         self.net = memory_net.MemoryReactor(clock=self.clock)
         self.observer = RecordingObserver()
@@ -36,7 +39,7 @@
             clock=self.clock,
             rng=random.Random(1),
             leaf_id="a",
-            work_time=lambda _: 0.1,
+            work_time=lambda _: work_s,
         )
         self.server = self.leaf.factory()
         self.net.listen(*_ADDRESS, self.server)
@@ -203,3 +206,19 @@
     harness.clock.advance(0.1)
     assert losses
     assert {each.cause for each in losses} == {replicas.LossCause.LEAF_ENDED}
+
+
+def test_cancelled_call_ends_apart_from_its_leaf():
+    # Guards against popular requests that are barred since one crash of many
+    # leaves looked like several that followed each other.
+    harness = Harness(work_s=5.0)
+    harness.send(b"q1")
+    cancelled = harness.send(b"q2")
+    harness.clock.advance(0.1)
+    harness.pool.cancel_call(cancelled)
+    harness.clock.advance(0.3)
+    harness.end_leaf()
+    harness.clock.advance(0.1)
+    ended_at_by_id = harness.observer.ended_at_by_id
+    assert sorted(ended_at_by_id) == [b"q1", b"q2"]
+    assert len(set(ended_at_by_id.values())) == 1
