LIMIT: VMs tell each other of the limits that leaves name

A leaf that named 1.8 requests a second got 57 calls in 4 s (allowed 15.8) when all leaves of its shard paused and went on: only the VMs of its zone had had an answer from it, and the others turned to it without knowing of its limit.

Change: states of gatherers carry the limits that leaves have named, with ages; the latest word counts, the end of a limit too. Health checks of a leaf out of contact use its send times. Nothing is sent while no leaf names a limit, and VMs of earlier releases ignore it.

--- a/trefoilpier/fleet/state_handler.py
+++ b/trefoilpier/fleet/state_handler.py
@@ -9,7 +9,7 @@
 import expression
 import orjson
 
-from trefoilpier import base, http1
+from trefoilpier import base, http1, replicas
 from trefoilpier.fleet import directory, leaf_reports, snapshot
 
 # A poll without a change is answered after this time. A missing response shows
@@ -30,7 +30,7 @@
 _CONFIRMATION_HEADER = b"trefoilpier-confirmed-ms"
 _JSON_HEADER = (b"content-type", b"application/json")
 # Fields of a state that are left out if there is nothing to say.
-_OPTIONAL_FIELDS = ("evacuations", "leaf_reports")
+_OPTIONAL_FIELDS = ("evacuations", "leaf_reports", "rate_limits")
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -49,8 +49,8 @@
         vms: Records of the gatherers; None if the poll knows them.
         unsent_evidence: Evidence against requests that the VM could not write
             to the store, as `quarantine.to_document` returns it.
-        unsent_generation: Change counter of that evidence and of the
-            evacuated zones.
+        unsent_generation: Change counter of that evidence, of the evacuated
+            zones and of the limits that leaves have named.
         evacuations: The evacuated zones, each with the store's revision in
             which that began, and the revision up to which the VM knows the
             store; None if it has never known of any.
@@ -59,6 +59,8 @@
         leaf_reports: Observations of slow leaves, as
             `leaf_reports.LeafReports.encode` returns them; None if no leaf is
             slow or the poll does not ask for them.
+        rate_limits: Limits on the rate of requests that leaves have named, as
+            `replicas.LimitNews.encode` returns them; None if there are none.
     """
 
     version: int
@@ -76,6 +78,7 @@
     suspicions: list[dict[str, Any]] = field(default_factory=list)
     suspicion_generation: int = 0
     leaf_reports: dict[str, Any] | None = None
+    rate_limits: dict[str, Any] | None = None
 
     @property
     def store_revision(self) -> int:
@@ -152,6 +155,7 @@
                 suspicions=list(row.get("suspicions", ())),
                 suspicion_generation=int(row.get("suspicion_generation", 0)),
                 leaf_reports=leaf_reports.decode(row.get("leaf_reports")),
+                rate_limits=replicas.decode_limits(row.get("rate_limits")),
             )
         )
     except (ValueError, KeyError, TypeError) as error:
--- a/trefoilpier/replicas/__init__.py
+++ b/trefoilpier/replicas/__init__.py
@@ -15,6 +15,7 @@
     RunningCall,
 )
 from trefoilpier.replicas.entry import LeafEntry, LeafPhase
+from trefoilpier.replicas.limit_news import LimitNews, decode_limits
 from trefoilpier.replicas.loss import CallLoss, LossCause
 from trefoilpier.replicas.policy import LeafPolicy
 from trefoilpier.replicas.pool import LeafPool
@@ -41,9 +42,11 @@
     "LeafRegistry",
     "LeafStats",
     "LeafSurvey",
+    "LimitNews",
     "LossCause",
     "NullLeafEndObserver",
     "RequestIdentity",
     "ReusePolicy",
     "RunningCall",
+    "decode_limits",
 ]
--- a/trefoilpier/replicas/pool.py
+++ b/trefoilpier/replicas/pool.py
@@ -340,6 +340,9 @@
             return
         if self._connections and not self._contact.is_lost(now):
             return
+        if self._contact.is_lost(now) and self._pacer.wait_s(now) > 0.0:
+            # The connection would be probed, and probes count as requests.
+            return
         if len(self._connections) >= self.connections_max:
             return
         if now < self._next_warm_up_at:
@@ -354,6 +357,8 @@
             return
         if self._opening_count or now < self._next_warm_up_at or self.leaving:
             return
+        if self._pacer.wait_s(now) > 0.0:
+            return
         if len(self._connections) >= self.connections_max:
             return
         self._next_warm_up_at = now + _WARM_UP_RETRY_S
@@ -577,6 +582,7 @@
         self, connection: http1.ClientConnection, health_request: bytes
     ) -> None:
         """Send a health check, of which any answer shows contact."""
+        self._pacer.record_send(self._clock.monotonic())
         timer = self._clock.call_later(
             _PROBE_TIMEOUT_S, self._give_up_probe, connection
         )
--- a/trefoilpier/replicas/registry.py
+++ b/trefoilpier/replicas/registry.py
@@ -18,6 +18,7 @@
     departures,
     ends,
     evacuation,
+    limit_news,
     pool,
     registration_grace,
     warm_up,
@@ -39,6 +40,7 @@
     Attributes:
         cold_leaves: Leaves that are cold.
         generation: Counter of changes of the leaves and evacuated zones.
+        limit_news: Limits on the rate of requests that leaves have named.
         pool_by_id: Pool of each known leaf.
         pools_by_service: Pools that may receive requests.
         slow_ids: Ids of leaves that were slow by this VM's own answers; whoever
@@ -66,6 +68,7 @@
         "_vm_id",
         "cold_leaves",
         "generation",
+        "limit_news",
         "pool_by_id",
         "pools_by_service",
         "slow_ids",
@@ -129,6 +132,8 @@
         self.generation = 0
         self.pool_by_id: dict[str, pool.LeafPool] = {}
         self.slow_ids: set[str] = set()
+        self.limit_news = limit_news.LimitNews(clock=clock)
+        self.limit_news.on_limit = self._apply_told_limit
         self.cold_leaves = warm_up.ColdLeaves(
             clock=clock,
             log=log,
@@ -337,6 +342,9 @@
         )
         added.stats.leaf_id = entry.id
         added.stats.slow_ids = self.slow_ids
+        added.set_rate_limit(
+            self.limit_news.rate_of(limit_news.leaf_key(entry))
+        )
         self.generation += 1
         self.pool_by_id[entry.id] = added
         self._log.emit(
@@ -377,6 +385,7 @@
             return
         self.generation += 1
         self._grace.release(leaf_id)
+        self.limit_news.forget(limit_news.leaf_key(removed.entry))
         self._departures.record(removed.entry)
         self._usable.remove(removed)
         removed.end_detector.record_removed(
@@ -410,6 +419,22 @@
             limited: Pool of the leaf.
             rate: Requests a second that it takes from all VMs together.
         """
+        if rate is not None or self.limit_news.known:
+            self.limit_news.record(limit_news.leaf_key(limited.entry), rate)
+        self._set_rate_limit(limited, rate)
+
+    def _apply_told_limit(self, key: str, rate: float | None) -> None:
+        """Apply a limit of which another VM has told."""
+        leaf_pool = self.pool_by_id.get(key.rpartition("/")[0])
+        if (
+            leaf_pool is not None
+            and limit_news.leaf_key(leaf_pool.entry) == key
+        ):
+            self._set_rate_limit(leaf_pool, rate)
+
+    def _set_rate_limit(
+        self, limited: pool.LeafPool, rate: float | None
+    ) -> None:
         previous = limited.rate_limit
         limited.set_rate_limit(rate)
         if (previous is None) != (rate is None):
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -150,6 +150,9 @@
             end_observer=self._guard.end_observer,
         )
         self._guard.set_registry(self._leaf_registry)
+        self._leaf_registry.limit_news.on_change = lambda: (
+            self.state_handler.notify_waiting()
+        )
         self._used_services: frozenset[str] = frozenset()
         self._confirmation = account_confirmation.AccountConfirmation(
             clock=clock, log=log, revoke_s=boot.revoke_s
@@ -387,7 +390,9 @@
             unsent_generation=(
                 self._evidence_sync.unsent_generation
                 + self._evacuation_sync.generation
+                + self._leaf_registry.limit_news.generation
             ),
+            rate_limits=self._leaf_registry.limit_news.encode(),
             evacuations=self._evacuation_sync.report(),
             suspicions=self._guard.early.news(),
             suspicion_generation=self._guard.early.generation,
@@ -427,6 +432,7 @@
             )
         if self._leaf_reports is not None:
             self._leaf_reports.handle(state.leaf_reports)
+        self._leaf_registry.limit_news.merge(state.rate_limits)
         if self._evacuation_sync.handle_report(
             state.evacuations, era=state.era
         ):
