--- a/trefoilpier/fleet/tests/test_vm_count.py
+++ b/trefoilpier/fleet/tests/test_vm_count.py
@@ -2,6 +2,7 @@
 
 from standins import memory_fleet
 from trefoilpier import base, fleet
+from trefoilpier.forward import budget
 
 _DELAY_S = 15.0
 
@@ -64,3 +65,23 @@
         least = min(least, process.gauges["vms_gathering"]())
         assert process.engine_by_role["gather"].vm_count >= 6
     assert least == 1
+
+
+def test_vm_that_reads_no_record_yet_takes_all_for_itself(tmp_path):
+    # Guards against VMs that start together, and each of which divides by one
+    # until the first records are in the store.
+    made = memory_fleet.MemoryFleet(
+        directory=tmp_path,
+        log=base.NullEventLog(),
+        sizes=memory_fleet.FleetSizes(large=7, small=0, zones=3),
+    )
+    made.start_all()
+    before = set()
+    for _ in range(300):
+        made.clock.advance(0.002)
+        for vm in made.vms:
+            if vm.process and not vm.process.gauges["vms_gathering"]():
+                before.add(vm.process.engine_by_role["gather"].vm_count)
+    assert before == {budget.ASSUMED_VM_COUNT}
+    made.clock.advance(2.0)
+    assert made.vms[0].process.engine_by_role["gather"].vm_count == 7
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -349,7 +349,10 @@
                 listed=self._boot.node_id in self._directory.record_by_id
             )
         self._update_shared_limits()
-        self._vm_count.update(max(1, len(self._selection.selected)))
+        count = len(self._selection.selected)
+        if count:
+            # At the first start of all VMs, no record is there yet.
+            self._vm_count.update(count)
         self._share_cold_leaves()
         if self.is_gatherer():
             self._open_connections()
