The only VM grants under quotas until its process ends

A stopping VM gives up the limits that it owns.

VMs that leave may own limits while there is no other candidate; the votes that keep two owners apart are unchanged.

--- a/trefoilpier/shares/grantor.py
+++ b/trefoilpier/shares/grantor.py
@@ -18,7 +18,7 @@
 
     Attributes:
         owned_by_name: The limits for which tokens were asked here.
-        stopping: Whether this VM grants nothing any more.
+        stopping: Whether this VM leaves its limits to others, if there are any.
     """
 
     __slots__ = (
@@ -90,7 +90,7 @@
         return ()
 
     def _owns_any(self, request: messages.ShareRequest) -> bool:
-        return not self.stopping and any(
+        return any(
             self._exchange.roster.is_own(
                 self._exchange.roster.owner_of(ask.name)
             )
@@ -125,7 +125,7 @@
         self, ask: messages.Ask, request: messages.ShareRequest, now: float
     ) -> messages.Grant | None:
         peer = self._exchange.roster.owner_of(ask.name)
-        if self.stopping or not self._exchange.roster.is_own(peer):
+        if not self._exchange.roster.is_own(peer):
             if peer is not None:
                 # The VM that asks may be unable to reach the owner.
                 self._exchange.check(peer.vm_id)
--- a/trefoilpier/shares/peer.py
+++ b/trefoilpier/shares/peer.py
@@ -58,12 +58,15 @@
     timer: base.Timer | None = None
     due_at: float = 0.0
 
+    @property
+    def answers(self) -> bool:
+        """Whether the VM takes part in limits and answers, as seen from here."""
+        return self.supported and self.failures < FAILURES_MAX
+
     @property
     def reachable(self) -> bool:
         """Whether the VM may be the owner of limits, as seen from here."""
-        return (
-            self.supported and not self.leaving and self.failures < FAILURES_MAX
-        )
+        return self.answers and not self.leaving
 
     @property
     def usable(self) -> bool:
--- a/trefoilpier/shares/roster.py
+++ b/trefoilpier/shares/roster.py
@@ -209,9 +209,13 @@
             for peer in self.peer_by_id.values()
             if peer.supported and peer.votes_from <= now
         ]
+        candidates = [peer for peer in voting if peer.reachable]
+        if not candidates:
+            # All VMs leave: those that still run go on for as long.
+            candidates = [peer for peer in voting if peer.answers]
         self.electorate.set_voters(
             (peer.vm_id for peer in voting),
-            candidates=(peer.vm_id for peer in voting if peer.reachable),
+            candidates=(peer.vm_id for peer in candidates),
             unable=frozenset(
                 peer.vm_id
                 for peer in self.peer_by_id.values()
--- a/trefoilpier/tier/tests/test_shared_limits.py
+++ b/trefoilpier/tier/tests/test_shared_limits.py
@@ -155,3 +155,24 @@
     assert load.used(5.0) >= 0.9 * 40 * 5
     # Each of the two others logs each of them once.
     assert len(load.events(base.Event.PEER_REJECTED)) <= 4
+
+
+def test_only_vm_refuses_below_the_quota_while_it_stops(tmp_path):
+    # Guards against a VM that gives up its limits at its stop although no other
+    # is there to own them.
+    load = QuotaLoad(tmp_path, large=1, small=0)
+    load.run(8.0, (20,))
+    load.fleet.vms[0].terminate()
+    load.run(2.0, (20,))
+    assert load.refusals == []
+    assert load.most_in_window() <= ALLOWED
+
+
+def test_vm_that_stops_beside_others_leaves_its_limits_to_them(tmp_path):
+    load = QuotaLoad(tmp_path, large=4, small=0)
+    load.run(8.0, (10, 10, 10, 10))
+    for vm in load.fleet.vms[:3]:
+        vm.terminate()
+    load.run(2.0, (10, 10, 10, 10))
+    assert len(load.refusals) <= 0.05 * 80
+    assert load.most_in_window() <= ALLOWED
