--- a/trefoilpier/shares/peer.py
+++ b/trefoilpier/shares/peer.py
@@ -60,7 +60,7 @@
 
     @property
     def answers(self) -> bool:
-        """Whether the VM takes part in limits and answers, as seen from here."""
+        """Whether the VM takes part in limits and answers to this one."""
         return self.supported and self.failures < FAILURES_MAX
 
     @property
