--- a/standins/demo.py
+++ b/standins/demo.py
@@ -64,6 +64,8 @@
         f"index version {snapshot.get('index_version', '-')}, "
         f"configuration {row['config_version']}"
     )
+    if coverage.get("missing"):
+        print(f"      missing {coverage['missing']}")
     return row
 
 
