--- a/trefoilpier/shares/tests/test_total_loss.py
+++ b/trefoilpier/shares/tests/test_total_loss.py
@@ -39,7 +39,7 @@
             24,
             0.1,
             marks=pytest.mark.xfail(
-                strict=True, reason="KNOWN-RED.txt, issue 32"
+                strict=True, reason="KNOWN-RED.txt, issue 35"
             ),
         ),
         (24.0, 8, 0.05),
