The fuzz lets records of VMs expire 15 s after another one

Cause: the fault of, a lower number of VMs that comes into force with the timer of an earlier decrease, was drawn by no generator, as records of running VMs never expired.

Change: in three of ten runs, once other faults have ended, a gatherer's record expires and 14.8 s later those of the others, which cannot reach the store for 2 s. The first must go on dividing by all that run.

No product code changed.

--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -55,6 +55,8 @@
 _CALM_SEQUENCE_S = 15.0
 _GATHERERS_STOP_SHARE = 0.5  # Runs in which all gatherers stop in the end.
 _GATHERERS_STOP_S = 12.0  # Until they gather again.
+_RECORDS_EXPIRE_SHARE = 0.3  # Runs in which VMs' records expire in the end.
+_RECORDS_EXPIRE_S = 24.0  # Until all are registered again.
 _RESETS = 2  # Times in a run in which leaves reset answers and run on.
 _RESET_LEAVES_SHARE = 0.5
 _RESET_ANSWERS_RANGE = (0.05, 0.6)
@@ -159,6 +161,9 @@
         if self._gatherers_rng.random() < _GATHERERS_STOP_SHARE:
             self._note_applied(self._sequences.stop_all_gatherers())
             self._run_load(_GATHERERS_STOP_S)
+        if self._gatherers_rng.random() < _RECORDS_EXPIRE_SHARE:
+            self._note_applied(self._sequences.expire_records())
+            self._run_load(_RECORDS_EXPIRE_S)
         return list(self._violations(self._run_load(_JUDGED_S)))
 
     def _run_load(self, seconds: float) -> list[memory_fleet.FleetAnswer]:
--- a/lab/sequences.py
+++ b/lab/sequences.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator, Mapping
 
 from standins import leaf_rules, memory_fleet, published_protocol
+from trefoilpier.fleet import directory as vm_records
 
 # Each VM knows of an evacuation this long after it at the latest.
 _EVACUATION_KNOWN_S = leaf_rules.EVACUATE_S
@@ -32,6 +33,11 @@
 # While all gatherers stop, those that relay to them are judged for this time.
 _GATHERERS_SERVE_S = 1.5
 _GATHERERS_SERVED_MIN = 0.9
+# Between the expiry of one VM's record and that of the others'.
+_RECORDS_GAP_S = 14.8
+_RECORDS_MISSING_S = 2.0
+_RECORDS_CHECK_PAUSE_S = 0.1
+_RECORDS_CHECKS = 20
 # A stopping VM may close a connection so long after a request, if it was not
 # sent to a leaf.
 _LOSS_SLACK_S = 0.2
@@ -162,6 +168,49 @@
             )
         return "all gatherers stop"
 
+    def expire_records(self) -> str:
+        """Let a VM's record expire, and those of the others 15 s later.
+
+        A lower number of VMs counts after that time. Other faults must have
+        ended.
+        """
+        fleet = self._fleet
+        first, *others = fleet.gatherers
+        fleet.model.delete(vm_records.VM_KEY_PREFIX + first.name)
+
+        def expire_others() -> None:
+            for vm in others:
+                vm.cut_from_store(memory_fleet.LeafCut.SILENT)
+                fleet.model.delete(vm_records.VM_KEY_PREFIX + vm.name)
+
+        def end() -> None:
+            for vm in others:
+                vm.cut_from_store(None)
+
+        later = fleet.clock.call_later
+        later(_RECORDS_GAP_S, expire_others)
+        for number in range(_RECORDS_CHECKS):
+            later(
+                _RECORDS_GAP_S + number * _RECORDS_CHECK_PAUSE_S,
+                self._check_vm_count,
+                first,
+            )
+        later(_RECORDS_GAP_S + _RECORDS_MISSING_S, end)
+        return "records of all gatherers expire, the others' 15 s later"
+
+    def _check_vm_count(self, vm: memory_fleet.MemoryVm) -> None:
+        """Check that a VM does not take the shares of those that run."""
+        if vm.process is None:
+            return
+        count = vm.process.engine_by_role["gather"].vm_count
+        running = sum(
+            each.process is not None for each in self._fleet.gatherers
+        )
+        if count < running:
+            self._found.append(
+                f"{vm.name} divides by {count} VMs while {running} run"
+            )
+
     def _start_again(self, vm: memory_fleet.MemoryVm, process: object) -> None:
         """Start a VM that has stopped, unless another process runs."""
         if vm.process in (None, process):
--- a/lab/tests/test_fleet_fuzz.py
+++ b/lab/tests/test_fleet_fuzz.py
@@ -4,6 +4,7 @@
 
 from lab import fuzz
 from standins import platform_model
+from trefoilpier.fleet import vm_count
 from trefoilpier.forward import engine, stopping, wait_queue
 from trefoilpier.replicas import rate_limit, registration_grace, registry
 from trefoilpier.tier import dispatcher, graceful_stop, store_items, store_sync
@@ -106,3 +107,20 @@
     # An earlier queue had a count of -1, and its admission divided by zero.
     monkeypatch.setattr(wait_queue.WaitQueue, "count", property(lambda _: -1))
     assert any("ZeroDivisionError" in each for each in violations_of(1))
+
+
+def test_decreases_with_an_earlier_timer_are_found(monkeypatch):
+    # The timer of a decrease once applied whatever number was known then.
+    def update(self, count):
+        def apply():
+            self.value = self._latest
+            self._on_change(self.value)
+
+        self._latest = count
+        if count > self.value:
+            apply()
+        elif count < self.value:
+            self._clock.call_later(vm_count._DECREASE_DELAY_S, apply)
+
+    monkeypatch.setattr(vm_count.VmCount, "update", update)
+    assert any("divides by" in each for each in violations_of(1, 2, 3, 4, 5))
