--- a/review/7/case.py
+++ b/review/7/case.py
@@ -21,33 +21,23 @@
     """Send a search and then a booking on each of some kept connections."""
     store = standins.Store()
     expiry = asyncio.create_task(store.expire_leases())
-    leaves = [standins.Leaf(f"i-{k}", "records") for k in range(3)]
-    for k, leaf in enumerate(leaves):
-        await leaf.start(f"{prefix}.{100 + k}")
-        store.put_json(f"servers/{leaf.id}", leaf.entry())
+    leaves = await standins.start_leaves(store, prefix, "records", 3)
     store.put_json(
         "op/config",
         standins.routes(
             7, fetch=("records", "safe"), book=("records", "unsafe")
         ),
     )
-    server = await asyncio.start_server(store.serve, f"{prefix}.50", 0)
-    port = server.sockets[0].getsockname()[1]
-    host = f"{prefix}.1"
-    vm = standins.Vm(
-        "vm-1", host, f"{prefix}.50:{port}", folder, standins.free_block(host)
-    )
+    vms, _ = await standins.start_vms(store, prefix, folder, 1)
     try:
-        await vm.start()
-        await vm.wait_ready()
         await asyncio.sleep(1.0)
         broken = []
         for k in range(_CLIENTS):
-            broken += await _visit(record, vm, leaves, k)
+            broken += await _visit(record, vms[0], leaves, k)
         return broken
     finally:
         expiry.cancel()
-        await vm.stop()
+        await standins.stop_vms(vms)
 
 
 async def _visit(record, vm, leaves, number):
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -445,6 +445,107 @@
             await self.process.wait()
 
 
+async def start_vms(store, prefix, folder, count):
+    """Start VMs, each with its own path to the store, and wait for them.
+
+    Returns:
+        The VMs and their paths. If one does not start, all are stopped.
+    """
+    vms, paths = [], []
+    for k in range(count):
+        path = Path(store)
+        server = await asyncio.start_server(path.serve, f"{prefix}.{50 + k}", 0)
+        port = server.sockets[0].getsockname()[1]
+        host = f"{prefix}.{k + 1}"
+        address = f"{prefix}.{50 + k}:{port}"
+        vms.append(Vm(f"vm-{k + 1}", host, address, folder, free_block(host)))
+        paths.append(path)
+    try:
+        await restart_vms(vms)
+    except BaseException:
+        await stop_vms(vms)
+        raise
+    return vms, paths
+
+
+async def restart_vms(vms):
+    """Start the processes of VMs and wait until they are ready."""
+    for vm in vms:
+        await vm.start()
+    for vm in vms:
+        await vm.wait_ready()
+
+
+async def stop_vms(vms):
+    """Kill the processes of VMs."""
+    for vm in vms:
+        await vm.stop()
+
+
+async def start_leaves(store, prefix, service, count):
+    """Start leaves of a service and write their entries."""
+    leaves = [Leaf(f"i-{k}", service) for k in range(count)]
+    for k, leaf in enumerate(leaves):
+        await leaf.start(f"{prefix}.{100 + k}")
+        store.put_json(f"servers/{leaf.id}", leaf.entry())
+    return leaves
+
+
+async def keep_calling(record, vm, number):
+    """Send requests one after the other; each fourth is a booking."""
+    count = 0
+    while True:
+        count += 1
+        booking = count % 4 == 0
+        method, route = ("POST", "book") if booking else ("GET", "fetch")
+        request_id = f"c{number}-{count}"
+        status, headers, _ = await send(
+            vm,
+            method,
+            f"/{route}/{number}/{count}",
+            request_id=request_id,
+            deadline_ms=3000,
+            host="shop.example",
+            body=b"x" if booking else b"",
+        )
+        seal = headers.get("x-server-seal", "")
+        record.add(f"{request_id} {method} /{route}: {status} {seal}")
+        await asyncio.sleep(0.03)
+
+
+async def end_tasks(tasks):
+    """Cancel tasks and wait until they have ended."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def list_late_arrivals(record, leaving, left_at, in_touch_at):
+    """Return what reached a leaf too late after it had left.
+
+    Args:
+        record: The record of the case.
+        leaving: The leaf.
+        left_at: Time at which the store accepted that it leaves.
+        in_touch_at: Time from which the VM is in touch.
+    """
+    bound = max(left_at + DRAIN_S, in_touch_at)
+    arrivals = [each for each in leaving.arrivals if each[0] > left_at]
+    last_at = max((each[0] for each in arrivals), default=left_at)
+    record.add(
+        f"{leaving.id} got {len(arrivals)} requests after it had left, the "
+        f"last {last_at - left_at:.2f} s after it; the bound is "
+        f"{bound - left_at:.2f} s"
+    )
+    return [
+        f"{method} {target} {request_id} reached {leaving.id} "
+        f"{at - left_at:.3f} s after it had left, "
+        f"{at - in_touch_at:.3f} s after vm-1 was in touch again"
+        for at, request_id, method, target in arrivals
+        if at > bound
+    ]
+
+
 async def send(vm, method, target, *, request_id, deadline_ms, host, body=b""):
     """Send one request on a new connection; return status, headers, body.
 
