--- a/review/7/case.py
+++ b/review/7/case.py
@@ -21,7 +21,7 @@
     """Send a search and then a booking on each of some kept connections."""
     store = standins.Store()
     expiry = asyncio.create_task(store.expire_leases())
-    leaves = await standins.start_leaves(store, prefix, "records", 3)
+    leaves = await standins.start_leaves(record, store, prefix, "records", 3)
     store.put_json(
         "op/config",
         standins.routes(
