Case 9 counts only what is sent while the VM is in touch

The leaf now reports before the silence begins, so that the store is stable when it accepts the report.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -9,59 +9,62 @@
 import standins_2 as standins
 
 _SILENCE_S = 0.5
-_SERVES_ON_S = 7.0  # After the store's acknowledgement.
+_SERVES_ON_S = 8.0  # After the store's acknowledgement.
 
 
 async def case(record, prefix, folder):
-    """Run three VMs; the store gives one of them no response for a moment."""
+    """Run three VMs; the store gives one of them no response for a while."""
     store = standins.Store()
     expiry = asyncio.create_task(store.expire_leases())
-    leaves = await standins.start_leaves(store, prefix, "records", 3)
-    store.put_json(
-        "op/config",
-        standins.routes(
-            7, fetch=("records", "safe"), book=("records", "unsafe")
-        ),
-    )
+    leaves = await standins.start_leaves(record, store, prefix, "records", 3)
+    store.put_json("op/config", _configuration(7, timeout_ms=5000))
     vms, paths = await standins.start_vms(store, prefix, folder, 3)
     try:
-        await asyncio.sleep(3.0)
-        return await _play(record, store, leaves, vms[0], paths[0])
+        # Until the leaves are warm and the VMs in touch.
+        await asyncio.sleep(standins.CONTACT_S + 2.0)
+        return await _play(record, store, leaves[0], vms[0], paths[0])
     finally:
         expiry.cancel()
         await standins.stop_vms(vms)
 
 
-async def _play(record, store, leaves, vm, path):
+def _configuration(version, *, timeout_ms):
+    return standins.routes(
+        version,
+        timeout_ms=timeout_ms,
+        fetch=("records", "safe"),
+        book=("records", "unsafe"),
+    )
+
+
+async def _play(record, store, leaving, vm, path):
+    sent_at_by_id = {}
     callers = [
-        asyncio.create_task(standins.keep_calling(record, vm, k))
+        asyncio.create_task(standins.keep_calling(record, vm, k, sent_at_by_id))
         for k in range(8)
     ]
     path.on_dropped = lambda line: record.add(f"no response to: {line}")
     await asyncio.sleep(2.0)
-    entry = {**leaves[2].entry(), "warmup-left-ms": 900}
-    store.put_json(f"servers/{leaves[2].id}", entry)
-    record.add(f"the entry of {leaves[2].id} changes")
-    await asyncio.sleep(0.2)
-    in_touch_at = time.monotonic()
+    store.put_json("op/config", _configuration(9, timeout_ms=4500))
+    record.add("version 9 changes the timeout of the routes")
+    await asyncio.sleep(0.1)
+    left_at = leaving.report_draining()
+    await asyncio.sleep(0.1)
+    in_touch_at = left_at
     if standins.TROUBLE:
         record.add("the store gives vm-1 no response from now on")
         path.silent = True
-    await asyncio.sleep(_SILENCE_S)
-    if standins.TROUBLE:
+        await asyncio.sleep(_SILENCE_S)
         path.silent = False
         in_touch_at = time.monotonic() + standins.CONTACT_S
         record.add("the store serves vm-1 again")
-    await asyncio.sleep(0.5)
-    leaving = leaves[0]
-    left_at = store.put_json(f"servers/{leaving.id}", leaving.entry("draining"))
-    record.add(f"{leaving.id} reports that it is draining")
     await asyncio.sleep(max(0.0, left_at + _SERVES_ON_S - time.monotonic()))
     leaving.end()
-    record.add(f"{leaving.id} exits")
     await asyncio.sleep(1.0)
     await standins.end_tasks(callers)
-    return standins.list_late_arrivals(record, leaving, left_at, in_touch_at)
+    return standins.list_late_arrivals(
+        record, leaving, left_at, in_touch_at, sent_at_by_id
+    )
 
 
 if __name__ == "__main__":
