--- a/trefoilpier/http1/message.py
+++ b/trefoilpier/http1/message.py
@@ -9,6 +9,7 @@
 _HOP_BY_HOP = frozenset(
     (
         b"connection",
+        b"http2-settings",
         b"keep-alive",
         b"proxy-authenticate",
         b"proxy-authorization",
--- a/trefoilpier/http1/server.py
+++ b/trefoilpier/http1/server.py
@@ -155,9 +155,7 @@
         if not self._in_request or self._in_headers:
             self._header_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, "protocol upgrade is not supported")
+            self._parse(data)
         except httptools.HttpParserCallbackError:
             if self._rejection is None:
                 self._reject(400, "malformed request")
@@ -170,6 +168,36 @@
             self._reject(431, "headers too large")
         self._process_next()
 
+    def _parse(self, data: bytes) -> None:
+        """Feed the parser, which stops behind the head of an upgrade.
+
+        It would take the body for another protocol's. The upgrade is ignored
+        (RFC 9110, section 7.8): the head is parsed again without it.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                rest = data[upgrade.args[0] :]
+                data = self._encode_head_without_upgrade() + rest
+                self._parser = httptools.HttpRequestParser(self)
+            else:
+                return
+
+    def _encode_head_without_upgrade(self) -> bytes:
+        """Return the head of the request being parsed, for a new parser."""
+        version = self._parser.get_http_version().encode()
+        lines = [
+            b"%b %b HTTP/%b"
+            % (self._parser.get_method(), self._target, version),
+            *(
+                b"%b: %b" % header
+                for header in self._headers
+                if header[0] != b"upgrade"
+            ),
+        ]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def on_message_begin(self) -> None:
         """Reset the state of the request being parsed."""
         self._headers = []
@@ -213,6 +241,8 @@
         length = message.find_header(self._headers, b"content-length")
         if length and int(length) > self._factory.limits.body_bytes:
             self._reject_and_stop_parser(413, "body too large")
+        if self._parser.should_upgrade():
+            return  # The head is parsed again.
         expect = message.find_header(self._headers, b"expect")
         if (
             expect
@@ -238,6 +268,8 @@
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
+        if self._parser.should_upgrade():
+            return  # Only its head is complete.
         self._in_request = False
         if self._rejection is not None:
             return
--- a/trefoilpier/http1/tests/test_server.py
+++ b/trefoilpier/http1/tests/test_server.py
@@ -264,6 +264,91 @@
     assert new.statuses() == [200]
 
 
+UPGRADE_HEADERS = (
+    b"Connection: Upgrade, HTTP2-Settings\r\n"
+    b"Upgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n"
+)
+UPGRADING_REQUESTS = [
+    b"GET /a HTTP/1.1\r\nHost: h\r\n%b\r\n",
+    b"HEAD /a HTTP/1.1\r\nHost: h\r\n%b\r\n",
+    b"POST /a HTTP/1.1\r\nHost: h\r\n%bContent-Length: 3\r\n\r\nabc",
+    b"POST /a HTTP/1.1\r\nHost: h\r\n%bTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\nabc\r\n0\r\nT: v\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("request_text", UPGRADING_REQUESTS)
+@pytest.mark.parametrize("piece_bytes", [1, 7, 1000])
+def test_request_to_upgrade_gets_one_answer(request_text, piece_bytes):
+    # Guards against a second answer, 400, behind that to a request with an
+    # Upgrade header, which the next request on the connection gets.
+    harness = ServerHarness()
+    client = harness.connect()
+    data = request_text % UPGRADE_HEADERS
+    for start in range(0, len(data), piece_bytes):
+        harness.send(client, data[start : start + piece_bytes], 0.01)
+    assert client.statuses() == [200]
+    assert not client.closed
+    harness.send(client, GET_REQUEST.replace(b"/a", b"/b"))
+    assert client.statuses() == [200, 200]
+    assert [each.target for each in harness.handler.requests] == [b"/a", b"/b"]
+
+
+@pytest.mark.parametrize("request_text", UPGRADING_REQUESTS)
+def test_requests_behind_one_to_upgrade_are_served(request_text):
+    # Guards against the loss of what follows such a request in one read.
+    harness = ServerHarness()
+    client = harness.connect()
+    data = request_text % UPGRADE_HEADERS
+    harness.send(client, data * 3 + GET_REQUEST)
+    assert client.statuses() == [200] * 4
+    assert not client.closed
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: %d\r\n\r\n%b",
+        b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n",
+    ],
+)
+@pytest.mark.parametrize("piece_bytes", [1, 1000])
+def test_body_of_a_request_to_upgrade_holds_no_request(framing, piece_bytes):
+    # Guards against the parser's end of such a request behind its head, so
+    # that its body would be read as a request that nobody sent.
+    harness = ServerHarness()
+    client = harness.connect()
+    inner = GET_REQUEST.replace(b"/a", b"/smuggled")
+    data = b"POST /a HTTP/1.1\r\nHost: h\r\n" + UPGRADE_HEADERS
+    data += framing % (len(inner), inner)
+    for start in range(0, len(data), piece_bytes):
+        harness.send(client, data[start : start + piece_bytes], 0.01)
+    (request,) = harness.handler.requests
+    assert (request.target, request.body) == (b"/a", inner)
+    assert client.statuses() == [200]
+
+
+@pytest.mark.parametrize("connection", [b"close", b"Upgrade, close"])
+def test_request_to_upgrade_may_close_the_connection(connection):
+    harness = ServerHarness()
+    client = harness.connect()
+    head = b"GET /a HTTP/1.1\r\nHost: h\r\nUpgrade: h2c\r\nConnection: "
+    harness.send(client, head + connection + b"\r\n\r\n" + GET_REQUEST)
+    assert client.statuses() == [200]
+    assert client.closed
+
+
+def test_request_to_upgrade_is_answered_before_malformed_bytes():
+    harness = ServerHarness(respond=False)
+    client = harness.connect()
+    harness.send(client, UPGRADING_REQUESTS[0] % UPGRADE_HEADERS + b"\x16\x03")
+    assert client.statuses() == []
+    harness.handler.exchanges[0].respond(http1.HttpResponse(status=200))
+    harness.clock.advance(0.05)
+    assert client.statuses() == [200, 400]
+    assert client.closed
+
+
 def test_expect_continue_gets_100_before_body():
     harness = ServerHarness()
     client = harness.connect()
