MIXED: 100 Continue waits for the answers to earlier requests

What callers saw: of two requests sent at once, the second with Expect, the first got a 100 that it had not asked for; behind a request in progress no 100 came at all.

Cause: the 100 was written while the head was parsed, before the request in front of it was known to be served. Now the head notes that it is due, and the method that writes the answers in order writes it. Callers of HTTP/1.0 and requests without a body get none.

The fuzz and the soak keep connections with a parser of their own (standins/kept_caller.py) and report what answers no request. The tests fail before.

--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 
 from lab import crashing, event_rows, sequences
-from standins import leaf_rules, memory_fleet
-from trefoilpier import base, fleet
+from standins import kept_caller, leaf_rules, memory_fleet, opaque_caller
+from trefoilpier import base, fleet, http1
 
 SIZES = memory_fleet.FleetSizes(large=3, small=5, zones=3, shards=4)
 _START_WAIT_S = 3.0
@@ -61,6 +61,15 @@
 _RESET_LEAVES_SHARE = 0.5
 _RESET_ANSWERS_RANGE = (0.05, 0.6)
 _RESET_RANGE_S = (1.0, 3.0)
+# Requests over kept connections, in forms that are drawn.
+_KEPT_GAP_RANGE_S = (0.0, 0.6)
+_KEPT_REQUESTS_MAX = 3  # Sent at once on one connection.
+_KEPT_TARGETS = (
+    (b"GET", b"/r/kept"),
+    (b"GET", b"/g/kept"),
+    (b"POST", b"/r/kept"),
+)
+_KEPT_DEADLINE_S = 1.5
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -88,6 +97,9 @@
 
     __slots__ = (
         "_gatherers_rng",
+        "_kept_callers",
+        "_kept_count",
+        "_kept_rng",
         "_log",
         "_next_replica",
         "_outages_by_vm",
@@ -115,6 +127,8 @@
         # Drawn apart, so that the other faults of a seed stay the same.
         self._reset_rng = random.Random(f"resets {seed}")
         self._gatherers_rng = random.Random(f"gatherers {seed}")
+        self._kept_rng = random.Random(f"kept {seed}")
+        self._kept_count = 0
         self._log = event_rows.EventRows()
         self.fleet = memory_fleet.MemoryFleet(
             directory=directory,
@@ -125,6 +139,17 @@
         self._crashing = crashing.CrashingRequests(
             fleet=self.fleet, rng=self._rng
         )
+        self._kept_callers = [
+            kept_caller.KeptCaller(
+                reactor=self.fleet.net,
+                clock=self.fleet.clock,
+                rng=self._kept_rng,
+                host=vm.host,
+                port=memory_fleet.CALLER_PORT,
+                headers=_kept_headers,
+            )
+            for vm in self.fleet.vms
+        ]
         self._next_replica = 3
         self._started_at = self.fleet.clock.monotonic()
         # Start and end of each time in which the store was not stable.
@@ -155,6 +180,7 @@
             self.fleet.clock.call_later(at, self._reset_answers)
         at = self._sequence_rng.uniform(*_SEQUENCE_FROM_RANGE_S)
         self.fleet.clock.call_later(at, self._begin_sequence)
+        self._send_kept()
         self._run_load(_FAULTS_S + _QUIET_S)
         self._begin_sequence()
         self._run_load(_CALM_SEQUENCE_S)
@@ -173,6 +199,24 @@
         )
         return [each for each in answers if each.target in _TARGETS]
 
+    def _send_kept(self) -> None:
+        """Send requests over kept connections from now on."""
+        requests = []
+        for _ in range(self._kept_rng.randint(1, _KEPT_REQUESTS_MAX)):
+            self._kept_count += 1
+            method, target = self._kept_rng.choice(_KEPT_TARGETS)
+            requests.append(
+                kept_caller.KeptRequest(
+                    id=b"kept%d" % self._kept_count,
+                    method=method,
+                    target=target,
+                    on_end=lambda response: None,
+                )
+            )
+        self._kept_rng.choice(self._kept_callers).send(*requests)
+        gap_s = self._kept_rng.uniform(*_KEPT_GAP_RANGE_S)
+        self.fleet.clock.call_later(gap_s, self._send_kept)
+
     def _schedule_next(self, end_at: float) -> None:
         def apply() -> None:
             if self.fleet.clock.monotonic() < end_at:
@@ -386,6 +430,8 @@
     def _violations(
         self, answers: list[memory_fleet.FleetAnswer]
     ) -> Iterator[str]:
+        for caller in self._kept_callers:
+            yield from caller.violations
         yield from self._check_routes_never_go_back()
         yield from self._check_leaving_leaves()
         for each in self.fleet.leaf_by_id.values():
@@ -487,6 +533,13 @@
         )
 
 
+def _kept_headers(request_id: bytes) -> http1.Headers:
+    return [
+        (b"host", b"soak.example"),
+        *opaque_caller.attempt_headers(request_id, _KEPT_DEADLINE_S),
+    ]
+
+
 def run_seed(seed: int) -> tuple[list[str], list[str]]:
     """Run one seed; return what was violated, and the faults applied.
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,13 +5,15 @@
 
 from twisted.internet import reactor
 
-from standins import published_protocol, tier_world
+from standins import kept_caller, published_protocol, tier_world
 from trefoilpier import base, http1
 
 _TIMEOUT_MS = 1500
 _PROBE_PERIOD_S = 0.5
 _NEW_CONNECTION_SHARE = 0.7  # Of the requests to a VM out of rotation.
 _FAILED_PROBES_MAX = 2  # Consecutive failures that remove a VM from rotation.
+_KEPT_SHARE = 0.2  # Of the requests that are sent over kept connections, too.
+_KEPT_REQUESTS_MAX = 3  # Sent at once on one of them.
 REQUEST_KINDS = (("g", b"GET"), ("r", b"GET"), ("w", b"POST"))
 
 
@@ -50,6 +52,8 @@
         "_client_by_vm",
         "_clock",
         "_failed_probes_by_vm",
+        "_kept_caller_by_vm",
+        "_kept_rng",
         "_period_s",
         "_probe_client_by_vm",
         "_rng",
@@ -63,10 +67,12 @@
         self,
         *,
         rng: random.Random,
+        kept_rng: random.Random,
         environment: tier_world.TierEnvironment,
         rate: float,
     ) -> None:
         self._rng = rng
+        self._kept_rng = kept_rng
         self._environment = environment
         self._period_s = 1 / rate
         self._clock = base.ReactorClock(reactor=reactor)
@@ -78,6 +84,17 @@
             vm.name: self._make_client(vm, vm.ports.readiness_port)
             for vm in environment.vms
         }
+        self._kept_caller_by_vm = {
+            vm.name: kept_caller.KeptCaller(
+                reactor=reactor,
+                clock=self._clock,
+                rng=kept_rng,
+                host=vm.ports.host,
+                port=vm.ports.caller_port,
+                headers=_make_headers,
+            )
+            for vm in environment.vms
+        }
         self._failed_probes_by_vm = {
             vm.name: _FAILED_PROBES_MAX for vm in environment.vms
         }
@@ -129,6 +146,49 @@
         if self.loyal_vm:
             kind, method = self._rng.choice(REQUEST_KINDS)
             self.send(kind, method, vm=self.loyal_vm)
+        if self._kept_rng.random() < _KEPT_SHARE and self.ready_vms:
+            self._send_kept(self._kept_rng.choice(self.ready_vms))
+
+    def _send_kept(self, name: str) -> None:
+        """Send some requests at once over the kept connection to a VM."""
+        sent = []
+        for _ in range(self._kept_rng.randint(1, _KEPT_REQUESTS_MAX)):
+            kind, method = self._kept_rng.choice(REQUEST_KINDS)
+            request = self._add_record(kind, name)
+            sent.append(
+                kept_caller.KeptRequest(
+                    id=request.id.encode(),
+                    method=method,
+                    target=f"/{kind}/{len(self.requests)}".encode(),
+                    on_end=lambda response, request=request: self._end(
+                        request, response
+                    ),
+                )
+            )
+        self._kept_caller_by_vm[name].send(*sent)
+
+    @property
+    def kept_violations(self) -> list[str]:
+        """What VMs sent over kept connections that answers no request."""
+        return [
+            f"{name}: {line}"
+            for name, caller in self._kept_caller_by_vm.items()
+            for line in caller.violations
+        ]
+
+    def _add_record(
+        self, kind: str, vm: str, *, crashing: bool = False
+    ) -> RequestRecord:
+        request = RequestRecord(
+            id=f"{kind}{len(self.requests)}",
+            kind=kind,
+            vm=vm,
+            sent_at=self._clock.monotonic(),
+            crashing=crashing,
+            headers=[],
+        )
+        self.requests.append(request)
+        return request
 
     def send(
         self, kind: str, method: bytes, target: str = "", vm: str = ""
@@ -145,15 +205,7 @@
         if not ready and not vm:
             return
         name = vm or self._rng.choice(ready)
-        request = RequestRecord(
-            id=f"{kind}{len(self.requests)}",
-            kind=kind,
-            vm=name,
-            sent_at=self._clock.monotonic(),
-            crashing=bool(target),
-            headers=[],
-        )
-        self.requests.append(request)
+        request = self._add_record(kind, name, crashing=bool(target))
         client = self._client_by_vm[name]
         if vm and self._rng.random() < _NEW_CONNECTION_SHARE:
             port = self._environment.vm_by_name[name].ports.caller_port
@@ -162,10 +214,7 @@
             method,
             (target or f"/{kind}/{len(self.requests)}").encode(),
             timeout_s=_TIMEOUT_MS / 1000 + 1.0,
-            headers=[
-                (b"host", b"soak.example"),
-                *published_protocol.request_headers(request.id, _TIMEOUT_MS),
-            ],
+            headers=_make_headers(request.id.encode()),
             body=b"x" if method == b"POST" else b"",
         ).addCallback(self._on_outcome, request, client)
 
@@ -174,10 +223,26 @@
     ) -> None:
         if client is not self._client_by_vm[request.vm]:
             client.close()
+        response = None
+        if isinstance(outcome, http1.ResponseReceived):
+            response = outcome.response
+        self._end(request, response)
+
+    def _end(
+        self, request: RequestRecord, response: http1.HttpResponse | None
+    ) -> None:
+        """Record the end of a request; without a response, it was lost."""
         request.ended_at = self._clock.monotonic()
-        if not isinstance(outcome, http1.ResponseReceived):
+        if response is None:
             request.status = 0
             return
-        request.status = outcome.response.status
-        request.headers = outcome.response.headers
-        request.body = outcome.response.body
+        request.status = response.status
+        request.headers = response.headers
+        request.body = response.body
+
+
+def _make_headers(request_id: bytes) -> http1.Headers:
+    return [
+        (b"host", b"soak.example"),
+        *published_protocol.request_headers(request_id.decode(), _TIMEOUT_MS),
+    ]
--- a/soak/main.py
+++ b/soak/main.py
@@ -53,6 +53,7 @@
     )
     load = callers.Callers(
         rng=random.Random(rng.random()),
+        kept_rng=random.Random(f"kept {seed}"),
         environment=environment,
         rate=args.rate,
     )
@@ -89,6 +90,7 @@
         applied=injector.applied,
         crashing_callers=crashing_callers,
     )
+    violations += load.kept_violations
     statuses = collections.Counter(request.status for request in load.requests)
     print(f"seed {seed}: {len(load.requests)} requests, {dict(statuses)}")
     for fault in injector.applied:
--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -512,6 +512,7 @@
         leaf_by_id: All leaves so far, also those that have left.
         log: Events of all VMs.
         model: The store.
+        net: The network.
         operator: Operator who evacuates zones.
         vms: The VMs, large ones first.
     """
@@ -519,7 +520,6 @@
     __slots__ = (
         "_first_shard",
         "_gone_leaf_ids",
-        "_net",
         "_next_request",
         "_policy",
         "_rng",
@@ -532,6 +532,7 @@
         "leaf_by_id",
         "log",
         "model",
+        "net",
         "operator",
         "vms",
     )
@@ -566,15 +567,13 @@
         self._next_request = 0
         self.clock = base.VirtualClock(start=100.0)
         self.log = log
-        self._net = memory_net.MemoryReactor(clock=self.clock)
+        self.net = memory_net.MemoryReactor(clock=self.clock)
         self.model = platform_model.PlatformModel(clock=self.clock)
         self.operator = zone_operator.ZoneOperator(
             clock=self.clock, model=self.model
         )
         server = platform.PlatformServer(model=self.model, clock=self.clock)
-        self._net.listen(
-            *STORE_ADDRESS, httpd.HttpFactory(handle=server.handle)
-        )
+        self.net.listen(*STORE_ADDRESS, httpd.HttpFactory(handle=server.handle))
         self.answers: list[FleetAnswer] = []
         self.leaf_by_id: dict[str, FleetLeaf] = {}
         self._gone_leaf_ids: set[str] = set()
@@ -610,7 +609,7 @@
         )
         host = f"{_LEAF_NETWORK}{shard}.{replica}"
         server = leaf.factory()
-        self._net.listen(host, _LEAF_PORT, server)
+        self.net.listen(host, _LEAF_PORT, server)
         self.leaf_by_id[leaf.id] = FleetLeaf(
             leaf=leaf,
             shard=shard,
@@ -666,7 +665,7 @@
         crashed.crashed_under = under
         crashed.leaf.ended = True
         host = crashed.address.partition(":")[0]
-        self._net.stop_listening(host, _LEAF_PORT)
+        self.net.stop_listening(host, _LEAF_PORT)
         for connection in _in_order(crashed.server.connections):
             connection.abort()
         self.clock.call_later(_EXPIRY_S, self._remove_leaf, leaf_id)
@@ -778,7 +777,7 @@
         name = f"vm-{index}"
         return MemoryVm(
             clock=self.clock,
-            net=self._net,
+            net=self.net,
             log=self.log,
             rng=random.Random(self._rng.random()),
             settings=directory / name,
@@ -933,7 +932,7 @@
         self._next_request += 1
         vm = vm or self.vms[self._next_request % len(self.vms)]
         client = http1.HttpClient(
-            reactor=self._net,
+            reactor=self.net,
             clock=self.clock,
             host=vm.host,
             port=CALLER_PORT,
--- a/trefoilpier/http1/server.py
+++ b/trefoilpier/http1/server.py
@@ -115,6 +115,7 @@
         self._header_bytes = 0
         self._in_headers = False
         self._in_request = False
+        self._continue_due = False
         self._rejection: tuple[int, str] | None = None
         self._queued_requests: deque[message.HttpRequest] = deque()
         self._current_exchange: Exchange | None = None
@@ -243,13 +244,7 @@
             self._reject_and_stop_parser(413, "body too large")
         if self._parser.should_upgrade():
             return  # The head is parsed again.
-        expect = message.find_header(self._headers, b"expect")
-        if (
-            expect
-            and expect.lower() == b"100-continue"
-            and not self._current_exchange
-        ):
-            self.transport.write(_CONTINUE_RESPONSE)
+        self._continue_due = _expects_continue(self._headers, self._parser)
 
     def _reject_and_stop_parser(self, status: int, reason: str) -> None:
         """Reject the request and stop the parser by raising ValueError.
@@ -261,6 +256,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Collect a part of the body, within the size limit."""
+        self._continue_due = False  # The body comes without it.
         self._body_bytes += len(part)
         if self._body_bytes > self._factory.limits.body_bytes:
             self._reject_and_stop_parser(413, "body too large")
@@ -270,7 +266,7 @@
         """Queue a complete request."""
         if self._parser.should_upgrade():
             return  # Only its head is complete.
-        self._in_request = False
+        self._in_request = self._continue_due = False
         if self._rejection is not None:
             return
         self._request_count += 1
@@ -293,7 +289,7 @@
             self._rejection = (status, reason)
 
     def _process_next(self) -> None:
-        """Serve the next queued request, or respond to a rejected one."""
+        """Write what is due next, after the responses to earlier requests."""
         if self._current_exchange is not None or self._closing:
             if len(self._queued_requests) > _MAX_PIPELINED_REQUESTS:
                 self.transport.pauseProducing()
@@ -311,6 +307,11 @@
             status, reason = self._rejection
             self._factory.handler.rejected(status, reason)
             self._write(message.HttpResponse(status=status), close=True)
+            return
+        if self._continue_due:
+            # No earlier request waits for an answer.
+            self._continue_due = False
+            self.transport.write(_CONTINUE_RESPONSE)
 
     def respond(
         self, exchange: Exchange, response: message.HttpResponse
@@ -330,8 +331,7 @@
             return
         self._start_idle_wait()
         self.transport.resumeProducing()
-        if self._queued_requests or self._rejection is not None:
-            self._process_next()
+        self._process_next()
 
     def _write(self, response: message.HttpResponse, *, close: bool) -> None:
         self.transport.write(message.encode_response(response, close=close))
@@ -424,6 +424,20 @@
     return ""
 
 
+def _expects_continue(headers: message.Headers, parser: Any) -> bool:
+    """Return whether the caller waits for an interim response with its body.
+
+    One of HTTP/1.0 does not know them (RFC 9110, section 10.1.1).
+    """
+    expect = message.find_header(headers, b"expect") or b""
+    if expect.lower() != b"100-continue":
+        return False
+    length = message.find_header(headers, b"content-length") or b"0"
+    chunked = message.find_header(headers, b"transfer-encoding") is not None
+    has_body = chunked or int(length) > 0
+    return has_body and parser.get_http_version() != "1.0"
+
+
 class ServerFactory(protocol.Factory):
     """Factory for the connections of one listening address.
 
--- a/trefoilpier/http1/tests/test_server.py
+++ b/trefoilpier/http1/tests/test_server.py
@@ -349,6 +349,56 @@
     assert client.closed
 
 
+EXPECTING_HEAD = (
+    b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+    b"Expect: 100-continue\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+def test_interim_response_waits_for_earlier_requests(pause_s):
+    # Guards against a 100 that the caller takes for one to the request before.
+    harness = ServerHarness(respond=False)
+    client = harness.connect()
+    client.transport.write(GET_REQUEST)
+    if pause_s:
+        harness.clock.advance(pause_s)
+    harness.send(client, EXPECTING_HEAD)
+    assert client.statuses() == []
+    harness.handler.exchanges[0].respond(http1.HttpResponse(status=200))
+    harness.clock.advance(0.05)
+    assert client.statuses() == [200, 100]
+    harness.send(client, b"abc")
+    harness.handler.exchanges[1].respond(http1.HttpResponse(status=200))
+    harness.clock.advance(0.05)
+    assert client.statuses() == [200, 100, 200]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        EXPECTING_HEAD + b"abc",
+        EXPECTING_HEAD.replace(b"HTTP/1.1", b"HTTP/1.0") + b"abc",
+        EXPECTING_HEAD.replace(b"Content-Length: 3", b"Content-Length: 0"),
+        EXPECTING_HEAD.replace(b"POST", b"GET").replace(
+            b"Content-Length: 3\r\n", b""
+        ),
+    ],
+)
+def test_interim_response_only_for_a_body_that_is_due(data):
+    harness = ServerHarness()
+    client = harness.connect()
+    harness.send(client, data)
+    assert client.statuses() == [200]
+
+
+def test_caller_of_http_1_0_gets_no_interim_response():
+    harness = ServerHarness()
+    client = harness.connect()
+    harness.send(client, EXPECTING_HEAD.replace(b"HTTP/1.1", b"HTTP/1.0"))
+    assert client.statuses() == []
+
+
 def test_expect_continue_gets_100_before_body():
     harness = ServerHarness()
     client = harness.connect()
