--- a/trefoilpier/http1/server.py
+++ b/trefoilpier/http1/server.py
@@ -151,8 +151,11 @@
         """Parse received bytes and serve the next complete request."""
         if self._closing:
             return
-        if not self._in_request or not self._in_headers:
+        if self._in_request and not self._in_headers:
             self._wait_started_at = self._factory.clock.monotonic()
+        if not self._in_request:
+            # Empty lines may precede a request (RFC 9112, section 2.2).
+            self._header_bytes = 0
         if not self._in_request or self._in_headers:
             self._header_bytes += len(data)
         try:
@@ -207,6 +210,7 @@
         self._body_bytes = 0
         self._in_headers = True
         self._in_request = True
+        self._wait_started_at = self._factory.clock.monotonic()
 
     def on_url(self, part: bytes) -> None:
         """Collect a part of the request target."""
@@ -345,7 +349,7 @@
             return
         limits = self._factory.limits
         waited_s = now - self._wait_started_at
-        if self._in_request or self._header_bytes:
+        if self._in_request:
             if waited_s > limits.header_timeout_s:
                 self._reject(408, "timed out receiving the request")
                 self._process_next()
@@ -370,7 +374,7 @@
         idle = self._current_exchange is None and not self._queued_requests
         if idle_s < min_idle_s:
             return
-        if idle and not self._in_request and not self._header_bytes:
+        if idle and not self._in_request:
             self._closing = True
             self.transport.loseConnection()
 
--- a/trefoilpier/http1/tests/test_server.py
+++ b/trefoilpier/http1/tests/test_server.py
@@ -349,6 +349,32 @@
     assert client.closed
 
 
+@pytest.mark.parametrize("before", [b"", GET_REQUEST])
+def test_empty_lines_begin_no_request(before):
+    # Guards against a 408 on a connection on which nothing was asked.
+    harness = ServerHarness(header_timeout_s=1.0, idle_timeout_s=5.0)
+    client = harness.connect()
+    harness.send(client, before + b"\r\n")
+    answers = client.statuses()
+    for _ in range(2):
+        harness.send(client, b"\r\n\r\n", 1.5)
+    assert client.statuses() == answers
+    assert not client.closed
+    # They do not keep the connection open either.
+    harness.clock.advance(2.5)
+    assert client.statuses() == answers
+    assert client.closed
+
+
+def test_empty_lines_precede_a_request():
+    harness = ServerHarness(header_bytes=60)
+    client = harness.connect()
+    for _ in range(30):
+        harness.send(client, b"\r\n")
+    harness.send(client, GET_REQUEST)
+    assert client.statuses() == [200]
+
+
 EXPECTING_HEAD = (
     b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
     b"Expect: 100-continue\r\n\r\n"
