MIXED: a response without content is followed by no byte

encode_response wrote the body that it was given for 204 and 304, without a length, so that a caller would read it as the next response. No path of today leads there; now none can. HEAD gets the length that the leaf named, or that of the body, in place of 0.

The new test fails before in 4 of 5 cases.

--- a/trefoilpier/http1/message.py
+++ b/trefoilpier/http1/message.py
@@ -23,8 +23,7 @@
 _REASON_BY_STATUS = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
 }
-_STATUS_NO_CONTENT = 204
-_STATUS_NOT_MODIFIED = 304
+_BODILESS_STATUSES = frozenset((204, 304))
 
 
 @dataclass(slots=True, kw_only=True)
@@ -178,11 +177,25 @@
         )
 
 
-def encode_response(response: HttpResponse, *, close: bool) -> bytes:
+def encode_response(
+    response: HttpResponse, *, close: bool, to_head: bool = False
+) -> bytes:
     r"""Encode a response, with a Content-Length header for its body.
 
-    >>> encode_response(HttpResponse(status=204), close=True)
+    A response without content by its status or the request's method has no
+    body, whatever is given as such; it would be read as the next response.
+
+    Args:
+        response: The response.
+        close: Whether the connection closes behind it.
+        to_head: Whether it answers a HEAD request. It then has the length that
+            it names itself, or that of its body.
+
+    >>> encode_response(HttpResponse(status=204, body=b"x"), close=True)
     b'HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n'
+    >>> named = HttpResponse(status=200, headers=[(b"content-length", b"9")])
+    >>> encode_response(named, close=False, to_head=True)
+    b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n'
     """
     status = response.status
     reason = _REASON_BY_STATUS.get(status, b"Unknown")
@@ -192,8 +205,21 @@
         for pair in response.headers
         if pair[0] != b"content-length"
     ]
-    if status not in (_STATUS_NO_CONTENT, _STATUS_NOT_MODIFIED):
-        lines.append(b"content-length: %d" % len(response.body))
+    body = response.body
+    if status in _BODILESS_STATUSES:
+        body = b""
+    else:
+        lines.append(b"content-length: %b" % _length_of(response, to_head))
+    if to_head:
+        body = b""
     if close:
         lines.append(b"connection: close")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + response.body
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def _length_of(response: HttpResponse, to_head: bool) -> bytes:
+    """Return the length that a response states of its body."""
+    named = None
+    if to_head:
+        named = find_header(response.headers, b"content-length")
+    return named or b"%d" % len(response.body)
--- a/trefoilpier/http1/server.py
+++ b/trefoilpier/http1/server.py
@@ -328,17 +328,24 @@
         close = not exchange.request.keep_alive or (
             self._factory.closing and not self._queued_requests
         )
-        if exchange.request.method == b"HEAD":
-            response.body = b""
-        self._write(response, close=close)
+        to_head = exchange.request.method == b"HEAD"
+        self._write(response, close=close, to_head=to_head)
         if self._closing:
             return
         self._start_idle_wait()
         self.transport.resumeProducing()
         self._process_next()
 
-    def _write(self, response: message.HttpResponse, *, close: bool) -> None:
-        self.transport.write(message.encode_response(response, close=close))
+    def _write(
+        self,
+        response: message.HttpResponse,
+        *,
+        close: bool,
+        to_head: bool = False,
+    ) -> None:
+        self.transport.write(
+            message.encode_response(response, close=close, to_head=to_head)
+        )
         if close:
             self._closing = True
             self.transport.loseConnection()
--- a/trefoilpier/http1/tests/test_server.py
+++ b/trefoilpier/http1/tests/test_server.py
@@ -349,6 +349,34 @@
     assert client.closed
 
 
+@pytest.mark.parametrize(
+    ("method", "status", "headers", "length"),
+    [
+        (b"GET", 204, [], None),
+        (b"GET", 304, [], None),
+        (b"HEAD", 200, [], b"5"),
+        (b"HEAD", 200, [(b"content-length", b"7")], b"7"),
+        (b"HEAD", 204, [], None),
+    ],
+)
+def test_response_without_content_is_followed_by_no_byte(
+    method, status, headers, length
+):
+    # Guards against a body that the caller reads as the next response, and
+    # against a length of 0 for what a GET would have got.
+    harness = ServerHarness(respond=False)
+    client = harness.connect()
+    harness.send(client, GET_REQUEST.replace(b"GET", method))
+    (exchange,) = harness.handler.exchanges
+    exchange.respond(
+        http1.HttpResponse(status=status, headers=headers, body=b"hello")
+    )
+    harness.clock.advance(0.05)
+    assert client.received.endswith(b"\r\n\r\n")
+    found = re.search(rb"content-length: (\d+)", client.received)
+    assert (found and found[1]) == length
+
+
 @pytest.mark.parametrize("before", [b"", GET_REQUEST])
 def test_empty_lines_begin_no_request(before):
     # Guards against a 408 on a connection on which nothing was asked.
