MIXED: headers between VMs are taken from VMs only

A caller of a relaying VM could name the least version of the routes, or the end of that VM, for its request: each gatherer refused it. A leaf whose response had the header of a gatherer's refusal let the relaying VM count a request as not run that had run. Both ends now drop such headers of others.

Seen by reading, for the headers that concern one connection; the two tests fail before. The stand-in leaf can add headers and odd statuses.

--- a/standins/opaque_leaf.py
+++ b/standins/opaque_leaf.py
@@ -20,6 +20,20 @@
 _HEALTH_PATH = b"/health"  # Of all services in `published_protocol`.
 
 
+# Of no response in HTTP: the first three have the form of a status.
+ODD_STATUSES = (
+    b"000 Odd",
+    b"099 Odd",
+    b"600 Odd",
+    b"999 Odd",
+    b"101 Switching Protocols",
+    b"20 OK",
+    b"2000 OK",
+    b"abc OK",
+    b"",
+)
+
+
 class EndlessPart(enum.Enum):
     """Part of a response that never ends, with the bytes before it."""
 
@@ -45,6 +59,11 @@
         endless: Part of each response that never ends; None for responses
             that do.
         endless_rate: Bytes a second of such a part.
+        odd_share: Share of responses whose status line is one of
+            ``odd_statuses``; half of them have no length and end with their
+            connection.
+        odd_statuses: Status lines without the version.
+        more_headers: Further headers of the responses to requests that ran.
         paused: Whether the leaf neither starts nor completes requests.
         stopped: The same, independent of pauses.
     """
@@ -60,6 +79,9 @@
     cut_in_head: bool = False
     endless: EndlessPart | None = None
     endless_rate: int = 10_000
+    odd_share: float = 0.0
+    odd_statuses: Sequence[bytes] = ODD_STATUSES
+    more_headers: Sequence[tuple[bytes, bytes]] = ()
     paused: bool = False
     stopped: bool = False
 
@@ -395,6 +417,7 @@
         headers = [(b"x-server-seal", seal.encode())]
         if draw_random() < self.faults.unsigned_share:
             headers = []
+        headers += self.faults.more_headers
         body = self._rng.randbytes(_RECORD_SIZE_BYTES * 4)
         response = http1.HttpResponse(status=status, headers=headers, body=body)
         self.response_by_seal[seal.encode()] = LeafResponse(
@@ -408,6 +431,9 @@
             connection.transport.write(data[:end])
             connection.transport.loseConnection()
             return
+        if self.faults.odd_share and draw_random() < self.faults.odd_share:
+            self._answer_oddly(exchange, response)
+            return
         extra = draw_random() < self.faults.extra_share
         self._respond(exchange, response)
         if extra:
@@ -416,6 +442,23 @@
                 self.faults.extra_delay_s, connection.transport.write, copy
             )
 
+    def _answer_oddly(
+        self, exchange: http1.Exchange, response: http1.HttpResponse
+    ) -> None:
+        """Write a response whose status is none, with a length or without."""
+        response.headers.append((b"x-request-id", self._request_id(exchange)))
+        data = http1.encode_response(response, close=False)
+        framed = self._rng.random() < 0.5
+        _, _, rest = data.partition(b"\r\n")
+        if not framed:
+            length = b"content-length: %d\r\n" % len(response.body)
+            rest = rest.replace(length, b"")
+        status = self._rng.choice(self.faults.odd_statuses)
+        transport = exchange.connection.transport
+        transport.write(b"HTTP/1.1 " + status + b"\r\n" + rest)
+        if not framed:
+            transport.loseConnection()
+
     def _drip(self, connection: Any) -> None:
         """Write a part of an endless response until the connection ends."""
         if not connection.transport.connected:
--- a/trefoilpier/fleet/relay.py
+++ b/trefoilpier/fleet/relay.py
@@ -24,6 +24,7 @@
 _RELAY_HEADERS = frozenset(
     (_MIN_VERSION_HEADER, _NETWORK_TIME_HEADER, _ENDS_HEADER)
 )
+_GATHERER_HEADERS = frozenset((_VERSION_HEADER, _BEHIND_HEADER))
 
 _ROUTE = routes.Route(
     name="relay",
@@ -109,8 +110,10 @@
         The key is among them, since the gatherer decides about accounts.
         """
         network_us = int((request.network_s + request.link_s) * 1e6)
+        forwarded = self._wire.forwarded_headers(request, None)
         return [
-            *self._wire.forwarded_headers(request, None),
+            # A caller's own headers of these names say nothing.
+            *(each for each in forwarded if each[0] not in _RELAY_HEADERS),
             (_NETWORK_TIME_HEADER, b"%d" % network_us),
         ]
 
@@ -151,7 +154,7 @@
         headers = [
             header
             for header in http1.end_to_end(answer.response.headers)
-            if header[0] != _VERSION_HEADER
+            if header[0] not in _GATHERER_HEADERS
         ]
         return http1.HttpResponse(
             status=answer.response.status,
@@ -193,6 +196,12 @@
     def respond(self, response: http1.HttpResponse) -> None:
         table = self._engine.table
         version = table.version if table is not None else 0
+        # Headers of these names are a leaf's, which knows nothing of either.
+        response.headers = [
+            each
+            for each in response.headers
+            if each[0] not in _GATHERER_HEADERS
+        ]
         response.headers.append((_VERSION_HEADER, b"%d" % version))
         self._wrapped.respond(response)
 
--- a/trefoilpier/fleet/tests/test_relay.py
+++ b/trefoilpier/fleet/tests/test_relay.py
@@ -184,10 +184,11 @@
         )
         return added
 
-    def send_request(self, name, method=b"GET"):
+    def send_request(self, name, method=b"GET", more=()):
         headers = [
             (b"x-request-id", name.encode()),
             (b"x-deadline-ms", b"1000"),
+            *more,
         ]
 
         def record_result(outcome):
@@ -320,6 +321,45 @@
     assert (b"trefoilpier-network-us", b"9000") in headers
 
 
+def test_headers_between_vms_are_not_taken_from_callers(harness):
+    # Guards against a caller that lets each gatherer refuse its request, or
+    # end it at once, by naming the least version or the end of this VM.
+    gatherer = harness.add_gatherer("g1")
+    harness.request_dispatcher.start()
+    harness.clock.advance(1.0)
+    more = [
+        (b"trefoilpier-least-version", b"99"),
+        (b"trefoilpier-ends-ms", b"0"),
+        (b"trefoilpier-network-us", b"900000"),
+    ]
+    harness.send_request("q", more=more)
+    harness.clock.advance(0.1)
+    assert harness.results["q"][0] == 503
+    assert requests_ended(gatherer) == 1
+
+
+def test_headers_between_vms_are_not_taken_from_leaves(tmp_path):
+    # Guards against a leaf's answer that a relaying VM takes for the refusal
+    # of a gatherer with older routes, though the request has run.
+    made = memory_fleet.MemoryFleet(
+        directory=tmp_path,
+        log=base.NullEventLog(),
+        sizes=memory_fleet.FleetSizes(large=2, small=1, zones=1),
+    )
+    made.start_all()
+    made.clock.advance(3.0)
+    for each in made.leaf_by_id.values():
+        each.leaf.faults.more_headers = [
+            (b"trefoilpier-behind", b"1"),
+            (b"trefoilpier-version", b"99"),
+        ]
+    for _ in range(5):
+        made.send_request(b"/r/1", vm=made.vms[-1])
+        made.clock.advance(0.2)
+    assert [each.status for each in made.answers] == [200] * 5
+    assert made.vms[-1].process.version < 99
+
+
 @pytest.mark.parametrize("direct", [True, False])
 def test_caller_that_leaves_a_relaying_vm_is_followed_late(tmp_path, direct):
     # Guards against delays that add up: each VM on the way let calls go on for
@@ -335,7 +375,7 @@
     made.clock.advance(3.0)
     gatherer, relaying = made.vms
     client = http1.HttpClient(
-        reactor=made._net,
+        reactor=made.net,
         clock=made.clock,
         host=(gatherer if direct else relaying).host,
         port=memory_fleet.CALLER_PORT,
@@ -344,7 +384,7 @@
         (b"host", b"soak.example"),
         *opaque_caller.attempt_headers(b"1", 1.5),
     ]
-    opened_before = len(made._net.transports)
+    opened_before = len(made.net.transports)
     client.send_request(b"GET", b"/g/1", headers=headers, timeout_s=2.0)
     pools = gatherer.process._leaf_registry.pool_by_id.values()
 
@@ -353,6 +393,6 @@
 
     made.clock.advance(0.2)
     assert calls_in_flight() >= 2
-    made._net.transports[opened_before].abortConnection()
+    made.net.transports[opened_before].abortConnection()
     made.clock.advance(0.4)
     assert calls_in_flight() == 0
--- a/trefoilpier/tier/tests/test_shared_limits.py
+++ b/trefoilpier/tier/tests/test_shared_limits.py
@@ -127,7 +127,7 @@
 
 def _send_to_state_port(load, vm, body):
     client = http1.HttpClient(
-        reactor=load.fleet._net, clock=load.fleet.clock, host=vm.host, port=91
+        reactor=load.fleet.net, clock=load.fleet.clock, host=vm.host, port=91
     )
     outcomes = []
     client.send_request(
