MIXED: a status that is none is malformed, not an answer

What callers saw: a leaf's response with a status of 600 or more was passed on; with 000 or 099 and a length the request waited for a final response until its deadline.

Cause: the client connection took each number below 200 for an interim response and each other for a final one. Now a status outside 100 to 599, or 101, which nobody asks for, is malformed with the end of its head. The class serves leaves, peers and the store alike.

--- a/standins/opaque_leaf.py
+++ b/standins/opaque_leaf.py
@@ -60,9 +60,10 @@
             that do.
         endless_rate: Bytes a second of such a part.
         odd_share: Share of responses whose status line is one of
-            ``odd_statuses``; half of them have no length and end with their
-            connection.
+            ``odd_statuses``.
         odd_statuses: Status lines without the version.
+        odd_framing: Whether these responses have a length; None for half of
+            them. The others end with their connection.
         more_headers: Further headers of the responses to requests that ran.
         paused: Whether the leaf neither starts nor completes requests.
         stopped: The same, independent of pauses.
@@ -81,6 +82,7 @@
     endless_rate: int = 10_000
     odd_share: float = 0.0
     odd_statuses: Sequence[bytes] = ODD_STATUSES
+    odd_framing: bool | None = None
     more_headers: Sequence[tuple[bytes, bytes]] = ()
     paused: bool = False
     stopped: bool = False
@@ -448,7 +450,9 @@
         """Write a response whose status is none, with a length or without."""
         response.headers.append((b"x-request-id", self._request_id(exchange)))
         data = http1.encode_response(response, close=False)
-        framed = self._rng.random() < 0.5
+        framed = self.faults.odd_framing
+        if framed is None:
+            framed = self._rng.random() < 0.5
         _, _, rest = data.partition(b"\r\n")
         if not framed:
             length = b"content-length: %d\r\n" % len(response.body)
--- a/trefoilpier/http1/client_connection.py
+++ b/trefoilpier/http1/client_connection.py
@@ -29,7 +29,10 @@
 # A reset this long after a request may come from a path that hangs. A server
 # that ends mostly closes its connections in order.
 _PEER_RESET_MAX_S = 0.4
+_MIN_STATUS = 100
 _MIN_FINAL_STATUS = 200
+_MAX_STATUS = 599
+_STATUS_SWITCHING_PROTOCOLS = 101
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -249,10 +252,19 @@
         self._headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
-        """Determine the body framing and whether the connection is reusable."""
+        """Determine the body framing and whether the connection is reusable.
+
+        Raises:
+            ValueError: If the status is none that may answer the request (RFC
+                9110, section 15). The parser reports malformed input then.
+        """
         self._stalled_bytes = 0
         self._keep_alive = self._parser.should_keep_alive()
         status = self._parser.get_status_code()
+        if not _MIN_STATUS <= status <= _MAX_STATUS:
+            raise ValueError("status out of range")
+        if status == _STATUS_SWITCHING_PROTOCOLS:
+            raise ValueError("unrequested switch of protocols")
         framed = any(
             name in (b"content-length", b"transfer-encoding")
             for name, _ in self._headers
