LOST: messages without end take bounded memory and time, from leaves and callers

What would be seen: eight leaves that send short headers without end took 460 MB within two seconds, chunks of two bytes 185 MB; eight callers 387 and 171 MB, and a trailer line without end 170 MB and more, without any limit. A VM has 300 MB.

Cause: limits counted the bytes of a message and not what they take: a header or part of a few bytes takes some 50 times as much as an object of its own. Interim responses, extensions and, from callers, trailers had no limit in all. A parser and its connection refer to each other, so that both waited for the search for cycles.

Change: one count of the bytes since the last complete element covers each element of the grammar. Headers count with what they take; framing is limited in relation to the body; bodies are kept in blocks; closed connections drop their parser. Incomplete requests share 60 MB, like responses; the largest gets 503. A caller that does not read gets no further response, requests in one read are no longer served by recursion, and one read takes 16 KB.

--- a/bench/main.py
+++ b/bench/main.py
@@ -12,6 +12,7 @@
     control,
     cost,
     decisions,
+    endless,
     figures,
     http_clients,
     tier,
@@ -22,6 +23,7 @@
     "control": control.jobs,
     "cost": cost.process_jobs,
     "http-clients": http_clients.jobs,
+    "endless": endless.jobs,
     "messages": cost.jobs,
     "decisions": decisions.jobs,
     "gatherers": decisions.gatherer_jobs,
@@ -30,8 +32,10 @@
 _PROCESSES = 6
 # Benchmarks whose experiments take a time scale, as quick runs need.
 _WITH_QUICK_RUN = frozenset({"decisions"})
+# Each experiment runs a reactor, and a process has one.
+_OWN_PROCESS = frozenset({"endless"})
 # These measure processor time, so their experiments run one at a time.
-_EXCLUSIVE = frozenset({"capacity", "cost", "http-clients", "tier"})
+_EXCLUSIVE = frozenset({"capacity", "cost", "endless", "http-clients", "tier"})
 
 
 def _run_job(job: tuple) -> list[figures.Figure]:
@@ -56,7 +60,8 @@
         f"# {name}: {len(jobs)} experiments, {processes} at a time", flush=True
     )
     # Leaving the block terminates experiments that are still running.
-    with multiprocessing.Pool(processes) as pool:
+    tasks_max = 1 if name in _OWN_PROCESS else None
+    with multiprocessing.Pool(processes, maxtasksperchild=tasks_max) as pool:
         for done, rows in enumerate(pool.imap_unordered(run_job, jobs), 1):
             for row in rows:
                 figures.print_row(row)
--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -32,6 +32,7 @@
         "_delay_s",
         "_last_delivery_at",
         "_open",
+        "bufferSize",
         "disconnecting",
         "number",
         "peer",
@@ -108,6 +109,12 @@
     def resumeProducing(self) -> None:  # noqa: N802
         """Do nothing; tests send too little data to need flow control."""
 
+    def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
+        """Do nothing; tests send too little data to need flow control."""
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        """Do nothing; tests send too little data to need flow control."""
+
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         """Do nothing."""
 
--- a/trefoilpier/forward/tests/test_endless_answers.py
+++ b/trefoilpier/forward/tests/test_endless_answers.py
@@ -16,10 +16,9 @@
 def buffered_bytes(tier):
     """Return the bytes of incomplete responses that the VM holds."""
     return sum(
-        len(part)
+        transport.protocol._body.size_bytes
         for transport in tier.net.transports
         if transport.connected and transport.protocol.busy
-        for part in transport.protocol._body
     )
 
 
--- a/trefoilpier/http1/__init__.py
+++ b/trefoilpier/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages, client connections and the server for callers."""
 
+from trefoilpier.http1.body_buffer import BodyBuffer
 from trefoilpier.http1.buffer_budget import BufferBudget
 from trefoilpier.http1.client_connection import (
     ClientConnection,
@@ -26,6 +27,7 @@
 )
 
 __all__ = [
+    "BodyBuffer",
     "BufferBudget",
     "HttpClient",
     "CallerLimits",
--- a/trefoilpier/http1/client_connection.py
+++ b/trefoilpier/http1/client_connection.py
@@ -10,15 +10,21 @@
 from twisted.internet import error, protocol
 
 from trefoilpier import base
-from trefoilpier.http1 import buffer_budget, message
+from trefoilpier.http1 import body_buffer, buffer_budget, message
 
+# One read holds the loop for some milliseconds at most, whatever it contains.
+_READ_MAX_BYTES = 16 * 1024
 # The limits bound memory and are far above the size of any real response.
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 _MAX_HEADER_BYTES = 64 * 1024
-# Smaller bodies do not count against the memory that connections share.
-_SHARED_FROM_BYTES = 64 * 1024
+# What a header takes in memory beside its bytes, and an interim response in
+# time: some 500 of either may come, however short they are.
+_HEADER_OVERHEAD_BYTES = 128
 # Bytes without a complete header or a part of the body, such as one long line.
 _MAX_STALLED_BYTES = 64 * 1024
+# The same in all. Chunks of a few bytes each take far more time than memory.
+_MAX_FRAMING_BYTES = 64 * 1024
+_FRAMING_BYTES_PER_BODY_BYTE = 0.25
 # Without probes, a connection that has gone silent or a server that has lost
 # power goes unnoticed. TCP keepalive probes an idle connection every second;
 # TCP_USER_TIMEOUT limits how long sent data may stay unacknowledged.
@@ -122,10 +128,11 @@
         self._method = b""
         self._on_complete: OutcomeCallback | None = None
         self._headers: message.Headers = []
-        self._body: list[bytes] = []
+        self._body = body_buffer.BodyBuffer()
         self._header_bytes = 0
         self._body_bytes = 0
         self._stalled_bytes = 0
+        self._received_bytes = 0
         self._dropped = False
         self._body_until_close = False
         self._in_message = False
@@ -148,6 +155,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Prepare the socket and report the open connection."""
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = _READ_MAX_BYTES
         self._prepare_socket()
         self._parser = httptools.HttpResponseParser(self)
         self.open = True
@@ -194,6 +202,7 @@
         self._header_bytes = 0
         self._body_bytes = 0
         self._stalled_bytes = 0
+        self._received_bytes = 0
         self._dropped = False
         self._write(data)
 
@@ -221,22 +230,45 @@
             self.abort()
             return
         self._stalled_bytes += len(data)
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             # A response that was complete before the malformed bytes counts.
             self._malformed = True
-        if self._stalled_bytes > _MAX_STALLED_BYTES:
+        if self._has_too_little_content():
             self._malformed = True
         if self._responses:
             self._deliver_response()
         elif self._malformed:
             self._fail_request("malformed response")
+        else:
+            self._count_held_bytes()
+
+    def _count_held_bytes(self) -> None:
+        """Note what the incomplete response takes of the shared memory."""
+        if self._buffers is not None:
+            received_bytes = self._body.size_bytes + self._header_bytes
+            self._buffers.resize(self, received_bytes + self._stalled_bytes)
+
+    def _has_too_little_content(self) -> bool:
+        """Return whether what has been received is mostly no response."""
+        if self._stalled_bytes > _MAX_STALLED_BYTES:
+            return True
+        known_bytes = self._header_bytes + self._body_bytes
+        framing_bytes = self._received_bytes - known_bytes
+        allowed_bytes = _FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
+        return framing_bytes > _MAX_FRAMING_BYTES + allowed_bytes
 
     def on_message_begin(self) -> None:
-        """Reset the state of the message being parsed."""
+        """Reset the state of the message being parsed.
+
+        Raises:
+            ValueError: If too many interim responses have preceded it.
+        """
+        self._count_header_bytes(0)
         self._headers = []
-        self._body = []
+        self._body.clear()
         self._body_until_close = False
         self._in_message = True
 
@@ -246,10 +278,13 @@
         Headers of interim responses and trailers count as well.
         """
         self._stalled_bytes = 0
-        self._header_bytes += len(name) + len(value)
+        self._count_header_bytes(len(name) + len(value))
+        self._headers.append((name.lower(), value.strip()))
+
+    def _count_header_bytes(self, size_bytes: int) -> None:
+        self._header_bytes += size_bytes + _HEADER_OVERHEAD_BYTES
         if self._header_bytes > _MAX_HEADER_BYTES:
             raise ValueError("response headers too large")
-        self._headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
         """Determine the body framing and whether the connection is reusable.
@@ -286,13 +321,15 @@
         self._body_bytes += len(part)
         if self._body_bytes > _MAX_BODY_BYTES:
             raise ValueError("response too large")
-        self._body.append(part)
-        if self._buffers and self._body_bytes > _SHARED_FROM_BYTES:
-            self._buffers.add(self, len(part))
+        if self._dropped:
+            return
+        self._body.add(part)
+        if self._body_bytes > buffer_budget.COUNTED_FROM_BYTES:
+            self._count_held_bytes()
 
     def drop(self, reason: str) -> None:
         """Drop the response that is being received, for lack of memory."""
-        self._body = []
+        self._body.clear()
         self._dropped = True
         # Not at once, since the parser may be running.
         self._clock.call_later(0.0, self._fail_request, reason)
@@ -310,7 +347,7 @@
         response = message.HttpResponse(
             status=status,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=self._body.take(),
         )
         self._release_buffers()
         if not self._matches_request(response):
@@ -363,6 +400,9 @@
         ):
             self._finish_message()
         self._release_buffers()
+        # The parser refers to this connection. Without it, both are freed now
+        # and not when cycles are searched.
+        self._parser = None
         on_complete, self._on_complete = self._on_complete, None
         if on_complete is not None:
             if self._responses:
@@ -388,8 +428,8 @@
         )
 
     def _release_buffers(self) -> None:
-        self._body = []
-        if self._buffers and self._body_bytes > _SHARED_FROM_BYTES:
+        self._body.clear()
+        if self._buffers is not None:
             self._buffers.release(self)
 
     def _fail_request(self, reason: str) -> None:
--- a/trefoilpier/http1/server.py
+++ b/trefoilpier/http1/server.py
@@ -12,16 +12,27 @@
 from twisted.internet import protocol
 
 from trefoilpier import base
-from trefoilpier.http1 import message
+from trefoilpier.http1 import body_buffer, buffer_budget, message
 
 _TIMEOUT_SWEEP_PERIOD_S = 0.25  # Precision of the request and idle timeouts.
-_MAX_PIPELINED_REQUESTS = 16  # With more in the queue, reading pauses.
+# With more in the queue, reading pauses.
+_MAX_PIPELINED_REQUESTS = 16
+_MAX_PIPELINED_BYTES = 256 * 1024
+# One read holds the loop for some milliseconds at most, whatever it contains.
+_READ_MAX_BYTES = 16 * 1024
+_MAX_REQUESTS_AT_ONCE = 16  # Begun before others get their turn.
+# Memory for incomplete requests, a fifth of a small VM's.
+_BUFFERED_MAX_BYTES = 60 * 1024 * 1024
+_RETRY_AFTER_S = b"1"  # Of a request that there is no memory for.
+_STATUS_UNAVAILABLE = 503
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Position of ``tcpi_rtt``, the round trip time in microseconds, in Linux's
 # ``struct tcp_info``.
 _TCP_INFO_BYTES = 104
 _TCP_INFO_RTT = struct.Struct("I")
 _TCP_INFO_RTT_OFFSET = 68
+_MAX_HEADERS = 1000  # Each takes time and memory, however short it is.
+_HEADER_FRAMING_BYTES = 4  # Separator, space and line break.
 _UNSUPPORTED_METHODS = frozenset((b"CONNECT", b"TRACE"))
 
 
@@ -102,22 +113,31 @@
         """
 
 
-class ServerConnection(protocol.Protocol):
-    """A caller's connection, which serves its requests one at a time."""
+class ServerConnection(protocol.Protocol, buffer_budget.Buffer):
+    """A caller's connection, which serves its requests one at a time.
+
+    While the caller does not read responses, no further request is served.
+    """
 
     def __init__(self, *, factory: "ServerFactory") -> None:
         self._factory = factory
         self._parser: Any = None
         self._headers: message.Headers = []
         self._target = b""
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = body_buffer.BodyBuffer()
+        # Bytes since the last element of a request that was complete: its
+        # head, a part of its body, or all of it.
         self._header_bytes = 0
+        self._header_count = 0
+        self._pending_bytes = 0
         self._in_headers = False
         self._in_request = False
         self._continue_due = False
         self._rejection: tuple[int, str] | None = None
         self._queued_requests: deque[message.HttpRequest] = deque()
+        self._queued_bytes = 0
+        self._processing = False
+        self._output_full = False
         self._current_exchange: Exchange | None = None
         self._closing = False
         self._rtt_s = 0.0
@@ -128,6 +148,8 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Set up the parser and start the idle timeout."""
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = _READ_MAX_BYTES
+        self.transport.registerProducer(self, True)
         self._parser = httptools.HttpRequestParser(self)
         self._rtt_s = _handshake_rtt_s(self.transport.getHandle())
         self._start_idle_wait()
@@ -138,6 +160,10 @@
         self._factory.connections.discard(self)
         self._closing = True
         self._queued_requests.clear()
+        self._factory.buffers.release(self)
+        # The parser refers to this connection. Without it, both are freed now
+        # and not when cycles are searched.
+        self._parser = None
         current, self._current_exchange = self._current_exchange, None
         if current is not None and current.on_disconnect is not None:
             current.on_disconnect()
@@ -149,15 +175,12 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes and serve the next complete request."""
-        if self._closing:
+        if self._closing or self._rejection is not None:
             return
-        if self._in_request and not self._in_headers:
-            self._wait_started_at = self._factory.clock.monotonic()
         if not self._in_request:
             # Empty lines may precede a request (RFC 9112, section 2.2).
-            self._header_bytes = 0
-        if not self._in_request or self._in_headers:
-            self._header_bytes += len(data)
+            self._pending_bytes = 0
+        self._pending_bytes += len(data)
         try:
             self._parse(data)
         except httptools.HttpParserCallbackError:
@@ -165,13 +188,18 @@
                 self._reject(400, "malformed request")
         except httptools.HttpParserError as error:
             self._reject(400, str(error) or "malformed request")
-        headers_too_large = self._in_headers and (
-            self._header_bytes > self._factory.limits.header_bytes
-        )
-        if headers_too_large and self._rejection is None:
-            self._reject(431, "headers too large")
+        if self._in_request and self._pending_bytes > self._header_limit:
+            self._reject(431, "headers or framing too large")
+        if self._rejection is not None:
+            self._headers = []
+            self._body.clear()
+        self._factory.buffers.resize(self, self._body.size_bytes)
         self._process_next()
 
+    @property
+    def _header_limit(self) -> int:
+        return self._factory.limits.header_bytes
+
     def _parse(self, data: bytes) -> None:
         """Feed the parser, which stops behind the head of an upgrade.
 
@@ -205,9 +233,10 @@
     def on_message_begin(self) -> None:
         """Reset the state of the request being parsed."""
         self._headers = []
+        self._header_bytes = 0
+        self._header_count = 0
         self._target = b""
-        self._body = []
-        self._body_bytes = 0
+        self._body.clear()
         self._in_headers = True
         self._in_request = True
         self._wait_started_at = self._factory.clock.monotonic()
@@ -220,7 +249,17 @@
         """Collect a header; trailers are ignored.
 
         They could contradict headers that have been checked.
+
+        Raises:
+            ValueError: If they are too large together.
         """
+        self._header_bytes += len(name) + len(value) + _HEADER_FRAMING_BYTES
+        self._header_count += 1
+        if (
+            self._header_bytes > self._header_limit
+            or self._header_count > _MAX_HEADERS
+        ):
+            self._reject_and_stop_parser(431, "headers too large")
         if not self._in_headers:
             return
         self._headers.append((name.lower(), value.strip(b" \t")))
@@ -230,12 +269,10 @@
         self._in_headers = False
         # The pause before the body has a limit of its own.
         self._wait_started_at = self._factory.clock.monotonic()
-        size = len(self._target) + sum(
-            len(name) + len(value) + 4 for name, value in self._headers
-        )
-        self._header_bytes = 0
-        if size > self._factory.limits.header_bytes:
+        self._pending_bytes = 0
+        if self._header_bytes + len(self._target) > self._header_limit:
             self._reject_and_stop_parser(431, "headers too large")
+        self._header_bytes = 0  # Those of the trailers count anew.
         header_error = _find_header_error(self._headers, self._parser)
         if header_error:
             self._reject_and_stop_parser(400, header_error)
@@ -261,18 +298,21 @@
     def on_body(self, part: bytes) -> None:
         """Collect a part of the body, within the size limit."""
         self._continue_due = False  # The body comes without it.
-        self._body_bytes += len(part)
-        if self._body_bytes > self._factory.limits.body_bytes:
+        self._pending_bytes = 0
+        self._wait_started_at = self._factory.clock.monotonic()
+        self._body.add(part)
+        if self._body.size_bytes > self._factory.limits.body_bytes:
             self._reject_and_stop_parser(413, "body too large")
-        self._body.append(part)
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
         if self._parser.should_upgrade():
             return  # Only its head is complete.
         self._in_request = self._continue_due = False
+        self._pending_bytes = 0
         if self._rejection is not None:
             return
+        self._queued_bytes += self._body.size_bytes
         self._request_count += 1
         # The first request also waited for the TCP handshake.
         round_trips = 2 if self._request_count == 1 else 1
@@ -281,7 +321,7 @@
                 method=self._parser.get_method(),
                 target=self._target,
                 headers=self._headers,
-                body=b"".join(self._body),
+                body=self._body.take(),
                 keep_alive=self._parser.should_keep_alive(),
                 network_s=round_trips * self._rtt_s,
                 link_s_per_byte=self._factory.link_s_per_byte,
@@ -292,30 +332,78 @@
         if self._rejection is None:
             self._rejection = (status, reason)
 
+    def drop(self, reason: str) -> None:
+        """Reject the request that is being received, for lack of memory."""
+        self._reject(_STATUS_UNAVAILABLE, reason)
+        self._body.clear()
+        # Not at once, since another connection's request may be in progress.
+        self._factory.clock.call_later(0.0, self._process_next)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Serve no further request while the caller does not read."""
+        self._output_full = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Serve the next request, since the caller has read."""
+        self._output_full = False
+        self._process_next()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing; the loss of the connection is reported otherwise."""
+
     def _process_next(self) -> None:
         """Write what is due next, after the responses to earlier requests."""
+        if self._processing:
+            return  # The loop below goes on.
+        self._processing = True
+        try:
+            for _ in range(_MAX_REQUESTS_AT_ONCE):
+                if not self._begin_next_request():
+                    return
+        finally:
+            self._processing = False
+        self._factory.clock.call_later(0.0, self._process_next)
+
+    def _begin_next_request(self) -> bool:
+        """Serve the next queued request, or write what else is due.
+
+        Returns:
+            Whether another request may be served at once.
+        """
         if self._current_exchange is not None or self._closing:
-            if len(self._queued_requests) > _MAX_PIPELINED_REQUESTS:
+            if (
+                len(self._queued_requests) > _MAX_PIPELINED_REQUESTS
+                or self._queued_bytes > _MAX_PIPELINED_BYTES
+            ):
                 self.transport.pauseProducing()
-            return
+            return False
+        if self._output_full:
+            self.transport.pauseProducing()
+            return False
         if self._queued_requests:
             request = self._queued_requests.popleft()
+            self._queued_bytes -= len(request.body)
             self._current_exchange = Exchange(
                 connection=self,
                 request=request,
                 received_at=self._factory.clock.monotonic(),
             )
             self._factory.handler.handle(self._current_exchange)
-            return
+            return self._current_exchange is None
         if self._rejection is not None:
             status, reason = self._rejection
             self._factory.handler.rejected(status, reason)
-            self._write(message.HttpResponse(status=status), close=True)
-            return
+            response = message.HttpResponse(status=status)
+            if status == _STATUS_UNAVAILABLE:
+                response.headers.append((b"retry-after", _RETRY_AFTER_S))
+            self._write(response, close=True)
+            return False
+        # Nothing is left that the caller has sent in full.
+        self.transport.resumeProducing()
         if self._continue_due:
-            # No earlier request waits for an answer.
             self._continue_due = False
             self.transport.write(_CONTINUE_RESPONSE)
+        return False
 
     def respond(
         self, exchange: Exchange, response: message.HttpResponse
@@ -333,7 +421,6 @@
         if self._closing:
             return
         self._start_idle_wait()
-        self.transport.resumeProducing()
         self._process_next()
 
     def _write(
@@ -347,13 +434,21 @@
             message.encode_response(response, close=close, to_head=to_head)
         )
         if close:
-            self._closing = True
-            self.transport.loseConnection()
+            self._close()
+
+    def _close(self) -> None:
+        """Close the connection once what was written has been sent."""
+        self._closing = True
+        # Else the transport would wait for more.
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
 
     def check_timeouts(self, now: float) -> None:
         """Reject a request that is too slow; close an idle connection."""
         if self._current_exchange is not None or self._closing:
             return
+        if self._output_full:
+            return  # The VM itself does not read on.
         limits = self._factory.limits
         waited_s = now - self._wait_started_at
         if self._in_request:
@@ -382,8 +477,7 @@
         if idle_s < min_idle_s:
             return
         if idle and not self._in_request:
-            self._closing = True
-            self.transport.loseConnection()
+            self._close()
 
     def abort(self) -> None:
         """Close the connection immediately."""
@@ -460,6 +554,7 @@
         closing: Whether each connection closes after its pending responses.
         link_s_per_byte: Seconds for which a byte of a response occupies the
             VM's network link; 0 if not known.
+        buffers: Memory that incomplete requests share.
     """
 
     noisy = False
@@ -478,6 +573,9 @@
         self.limits = limits
         self.closing = False
         self.connections: set[ServerConnection] = set()
+        self.buffers = buffer_budget.BufferBudget(
+            limit_bytes=_BUFFERED_MAX_BYTES
+        )
         self._sweep_timer: base.Timer | None = None
 
     def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802
--- a/trefoilpier/http1/tests/test_client_connection.py
+++ b/trefoilpier/http1/tests/test_client_connection.py
@@ -1,5 +1,7 @@
 """Tests of one client connection to a misbehaving server."""
 
+import tracemalloc
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -244,6 +246,29 @@
         b"x" * 1000,
     ),
     "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 1_000_000),
+    "empty lines": (b"", b"\r\n" * 1000),
+    "bare interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 50),
+    "short headers": (b"HTTP/1.1 200 OK\r\n", b"a:\r\n" * 100),
+    "short trailers": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+        b"a:\r\n" * 100,
+    ),
+    "chunks of 1 byte": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n" * 500,
+    ),
+    "chunks of 2 bytes": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"2\r\nxx\r\n" * 500,
+    ),
+    "chunk extensions": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"1;%b\r\nx\r\n" % (b"x" * 1000),
+    ),
+    "digits of a chunk's size": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"0" * 1000,
+    ),
 }
 
 
@@ -257,3 +282,48 @@
         harness.write_response(part)
     assert isinstance(harness.outcomes[0], http1.RequestFailed)
     assert not harness.connection.open
+
+
+@pytest.mark.parametrize("part", [b"a:\r\n", b"2\r\nxx\r\n"])
+def test_short_parts_of_a_response_fill_the_memory(part):
+    # Guards against headers and chunks of a few bytes, each of which takes
+    # some 50 times as much memory: eight leaves filled a VM with them.
+    framing = b"transfer-encoding: chunked\r\n\r\n" if part[:1] == b"2" else b""
+    start = b"HTTP/1.1 200 OK\r\n" + framing
+    harness = ConnectionHarness()
+    harness.send()
+    harness.write_response(start)
+    tracemalloc.start()
+    for _ in range(400):
+        harness.write_response(part * 200)
+    _, most_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert isinstance(harness.outcomes[0], http1.RequestFailed)
+    assert most_bytes < 1_000_000
+
+
+@pytest.mark.parametrize("chunk_bytes", [16, 100, 1000])
+def test_long_response_in_short_chunks_is_complete(chunk_bytes):
+    # Such as one chunk for each record.
+    harness = ConnectionHarness()
+    harness.send()
+    chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)
+    count = 400_000 // chunk_bytes
+    harness.write_response(
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+    harness.write_response(chunk * count + b"0\r\n\r\n")
+    (outcome,) = harness.outcomes
+    assert len(outcome.response.body) == chunk_bytes * count
+    assert harness.idle_count == 1
+
+
+def test_long_responses_on_one_connection_are_complete():
+    harness = ConnectionHarness()
+    for _ in range(5):
+        harness.send()
+        harness.write_response(response(body=b"x" * 1_000_000))
+    assert [len(each.response.body) for each in harness.outcomes] == [
+        1_000_000
+    ] * 5
+    assert harness.idle_count == 5
--- a/trefoilpier/http1/tests/test_server.py
+++ b/trefoilpier/http1/tests/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server with malformed, slow and hostile input."""
 
 import re
+import tracemalloc
 
 import pytest
 from hypothesis import given, settings
@@ -403,6 +404,70 @@
     assert client.statuses() == [200]
 
 
+CHUNKED_HEAD = (
+    b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+ENDLESS_PARTS = {
+    "request line": (b"GET /", b"x" * 500, 431),
+    "header": (b"GET /a HTTP/1.1\r\na: ", b"x" * 500, 431),
+    "headers": (b"GET /a HTTP/1.1\r\n", b"a:\r\n" * 100, 431),
+    "extension": (CHUNKED_HEAD + b"5;", b"x" * 500, 431),
+    "digits of a chunk's size": (CHUNKED_HEAD, b"0" * 500, 431),
+    "trailer": (CHUNKED_HEAD + b"0\r\na: ", b"x" * 500, 431),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"a:\r\n" * 100, 431),
+    "chunks": (CHUNKED_HEAD, b"2\r\nxx\r\n" * 100, 413),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS_PARTS)
+@pytest.mark.parametrize("piece_bytes", [7, 100_000])
+def test_request_that_never_ends_is_received_for_ever(name, piece_bytes):
+    # Guards against a trailer that a caller sends for ever, all of which was
+    # kept, and against short headers and chunks, which take 50 times as much.
+    harness = ServerHarness(header_bytes=20_000, body_bytes=20_000)
+    client = harness.connect()
+    start, part, status = ENDLESS_PARTS[name]
+    client.transport.write(start)
+    harness.clock.advance(0.05)
+    tracemalloc.start()
+    data = part * 300
+    for begin in range(0, len(data), piece_bytes):
+        client.transport.write(data[begin : begin + piece_bytes])
+        harness.clock.advance(0.001)
+    _, most_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert client.statuses() == [status]
+    assert client.closed
+    assert harness.handler.requests == []
+    assert most_bytes < 2_000_000
+
+
+def test_incomplete_requests_share_memory():
+    # Guards against callers whose bodies together fill the memory: the largest
+    # gives way, and its caller knows that it has not run.
+    harness = ServerHarness(body_bytes=400_000)
+    harness.server.buffers = http1.BufferBudget(limit_bytes=1_000_000)
+    clients = [harness.connect() for _ in range(5)]
+    head = GET_REQUEST.replace(b"GET", b"POST").replace(
+        b"\r\n\r\n", b"\r\nContent-Length: 300000\r\n\r\n"
+    )
+    for k, client in enumerate(clients):
+        harness.send(client, head + b"x" * (250_000 - k))
+    assert [client.statuses() for client in clients] == [[503], [], [], [], []]
+    assert b"retry-after" in clients[0].received
+    for k, client in enumerate(clients):
+        harness.send(client, b"x" * (50_000 + k))
+    assert [client.statuses() for client in clients[1:]] == [[200]] * 4
+
+
+def test_many_requests_at_once_are_answered_one_by_one():
+    # Guards against a recursion that is as deep as requests are in one read.
+    harness = ServerHarness()
+    client = harness.connect()
+    harness.send(client, GET_REQUEST * 2000)
+    assert client.statuses() == [200] * 2000
+
+
 EXPECTING_HEAD = (
     b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
     b"Expect: 100-continue\r\n\r\n"
--- a/trefoilpier/leaf/connection.py
+++ b/trefoilpier/leaf/connection.py
@@ -6,6 +6,8 @@
 import httptools
 from twisted.internet import protocol
 
+from trefoilpier import http1
+
 _MAX_BODY_BYTES = 4_000_000
 _STATUS_OK = 200
 
@@ -33,8 +35,7 @@
         self._on_open = on_open
         self._on_close = on_close
         self._parser: Any = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = http1.BodyBuffer()
         self._message_complete = False
         self._keep_alive = True
         self._on_response: Callable[[bytes | None], None] | None = None
@@ -100,10 +101,9 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Collect a chunk of the body, up to the size limit."""
-        self._body_bytes += len(chunk)
-        if self._body_bytes > _MAX_BODY_BYTES:
+        if self._body.size_bytes + len(chunk) > _MAX_BODY_BYTES:
             raise ValueError("leaf response body too large")
-        self._body.append(chunk)
+        self._body.add(chunk)
 
     def on_message_complete(self) -> None:
         """Record that the response is complete."""
@@ -111,9 +111,7 @@
 
     def _deliver_response(self) -> None:
         """Pass the complete body to the waiting request."""
-        body = b"".join(self._body)
-        self._body = []
-        self._body_bytes = 0
+        body = self._body.take()
         self.idle_since = self._now()
         response_callback, self._on_response = self._on_response, None
         if (
