LOST: frames of peers and responses of the store without end

The link of the project's own protocol took frames of 8 MB from whoever reached its port, before the peer had shown that it knows the key, and copied all that had come for each part that came: 8 MB in parts of 1 KB are 32 GB of copies on the one loop. A Hello has 4 KB at most now, and parts are appended. Responses of one server (the store, a peer's state) share 32 MB while they are incomplete.

Two of the three new tests of the link fail before; the third shows that frames behind a rejected one are ignored.

--- a/trefoilpier/http1/http_client.py
+++ b/trefoilpier/http1/http_client.py
@@ -5,10 +5,12 @@
 from twisted.internet import defer, protocol
 
 from trefoilpier import base
+from trefoilpier.http1 import buffer_budget, message
 from trefoilpier.http1 import client_connection as client
-from trefoilpier.http1 import message
 
 _CONNECT_TIMEOUT_S = 1.0  # A healthy server accepts within milliseconds.
+# Memory for all incomplete responses of one server, a tenth of a small VM's.
+_BUFFERED_MAX_BYTES = 32 * 1024 * 1024
 
 
 class _ConnectionFactory(protocol.ClientFactory):
@@ -79,6 +81,7 @@
 
     __slots__ = (
         "_request_by_connection",
+        "_buffers",
         "_clock",
         "_closed",
         "_host",
@@ -96,6 +99,9 @@
         self._host = host
         self._port = port
         self._closed = False
+        self._buffers = buffer_budget.BufferBudget(
+            limit_bytes=_BUFFERED_MAX_BYTES
+        )
         self._idle_connections: list[client.ClientConnection] = []
         self._request_by_connection: dict[
             client.ClientConnection, _PendingRequest
@@ -161,7 +167,9 @@
         self, request: _PendingRequest
     ) -> client.ClientConnection:
         """Build the protocol of a new connection for its first request."""
-        connection = client.ClientConnection(clock=self._clock, events=self)
+        connection = client.ClientConnection(
+            clock=self._clock, events=self, buffers=self._buffers
+        )
         self._request_by_connection[connection] = request
         return connection
 
--- a/trefoilpier/peer/tcp.py
+++ b/trefoilpier/peer/tcp.py
@@ -2,11 +2,11 @@
 
 import contextlib
 import os
+import struct
 from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import endpoints, error, protocol
-from twisted.protocols import basic
 
 from trefoilpier import base
 from trefoilpier.peer import auth, codec, messages, network
@@ -15,19 +15,20 @@
 _NONCE_BYTES = 16
 _HELLO_TIMEOUT_S = 2.0
 _MAX_QUEUED_MESSAGES = 4096
-_FRAME_OVERHEAD_BYTES = 4 + auth.MAC_BYTES
+_LENGTH = struct.Struct("!I")  # Precedes each frame.
+_FRAME_OVERHEAD_BYTES = _LENGTH.size + auth.MAC_BYTES
+# Of a peer that has not shown that it knows the key.
+_MAX_HELLO_BYTES = 4096
 _CONNECT_TIMEOUT_S = 1.0
 
 
-class PeerLink(basic.Int32StringReceiver):
+class PeerLink(protocol.Protocol):
     """One TCP connection between two entry VMs.
 
     Attributes:
         peer_id: Node id of the peer; empty until its Hello is accepted.
     """
 
-    MAX_LENGTH = MAX_FRAME_BYTES
-
     def __init__(self, *, owner: "TwistedPeerNetwork", own_id: str) -> None:
         self._owner = owner
         self._own_id = own_id
@@ -36,6 +37,8 @@
         self._inbound_mac: auth.FrameMac | None = None
         self._queued_messages: list[bytes] = []
         self._hello_timer: base.Timer | None = None
+        self._received = bytearray()
+        self._rejected = False
         self.peer_id = ""
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -47,7 +50,7 @@
             message=messages.Hello(nonce=self._nonce),
         )
         data = codec.encode(hello)
-        self.sendString(auth.hello_mac(self._owner.key, data) + data)
+        self._send_frame(auth.hello_mac(self._owner.key, data) + data)
         self._hello_timer = self._owner.clock.call_later(
             _HELLO_TIMEOUT_S, self._check_hello_timeout
         )
@@ -62,9 +65,42 @@
             if len(self._queued_messages) < _MAX_QUEUED_MESSAGES:
                 self._queued_messages.append(data)
             return
-        self.sendString(self._outbound_mac.sign(data) + data)
+        self._send_frame(self._outbound_mac.sign(data) + data)
+
+    def _send_frame(self, frame: bytes) -> None:
+        self.transport.write(_LENGTH.pack(len(frame)) + frame)
 
-    def stringReceived(self, frame: bytes) -> None:  # noqa: N802
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Handle the frames that are complete.
+
+        An incomplete one is not copied for each of its parts.
+        """
+        self._received += data
+        begin = 0
+        while not self._rejected:
+            if len(self._received) - begin < _LENGTH.size:
+                break
+            (length,) = _LENGTH.unpack_from(self._received, begin)
+            if length > self._max_frame_bytes:
+                self._reject(f"frame of {length} bytes exceeds the limit")
+                break
+            end = begin + _LENGTH.size + length
+            if end > len(self._received):
+                break
+            self._handle_frame(bytes(self._received[end - length : end]))
+            begin = end
+        if self._rejected:
+            self._received.clear()
+        elif begin:
+            del self._received[:begin]
+
+    @property
+    def _max_frame_bytes(self) -> int:
+        if self._inbound_mac is None:
+            return _MAX_HELLO_BYTES
+        return MAX_FRAME_BYTES
+
+    def _handle_frame(self, frame: bytes) -> None:
         """Authenticate a frame and deliver its message."""
         mac, data = frame[: auth.MAC_BYTES], frame[auth.MAC_BYTES :]
         if self._inbound_mac is None:
@@ -114,11 +150,8 @@
         for queued_data in queued:
             self.send(queued_data)
 
-    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
-        """Close the link on which an oversized frame was announced."""
-        self._reject(f"frame of {length} bytes exceeds the limit")
-
     def _reject(self, reason: str) -> None:
+        self._rejected = True
         self._owner.log.emit(
             base.Event.PEER_REJECTED,
             peer=self.peer_id or str(self.transport.getPeer().host),
--- a/trefoilpier/peer/tests/test_fuzz.py
+++ b/trefoilpier/peer/tests/test_fuzz.py
@@ -1,5 +1,7 @@
 """Tests that the peer port rejects hostile and damaged input."""
 
+import tracemalloc
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -97,6 +99,39 @@
     assert harness.received == []
 
 
+def test_frame_before_the_hello_may_not_be_long():
+    # Guards against whoever reaches the port and sends a frame of 8 MB.
+    harness = _LinkHarness()
+    link = harness.links[1]
+    link.dataReceived((100_000).to_bytes(4, "big"))
+    assert link.transport.disconnecting
+
+
+def test_long_frame_in_small_parts_is_copied_once():
+    # Guards against a copy of all that has come for each part that comes, which
+    # held the loop for seconds in all.
+    harness = _LinkHarness()
+    harness.exchange_hellos()
+    second = harness.links[1]
+    second.dataReceived(tcp.MAX_FRAME_BYTES.to_bytes(4, "big"))
+    tracemalloc.start()
+    for _ in range(4000):
+        second.dataReceived(b"x" * 1000)
+    _, most_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert most_bytes < 6_000_000
+    assert not second.transport.disconnecting
+
+
+def test_frames_after_a_rejected_one_are_ignored():
+    harness = _LinkHarness()
+    harness.exchange_hellos()
+    data, second = harness.send_from_first(peer.Cancel(id="q"))
+    second.dataReceived(b"\0\0\0\x40" + b"x" * 64 + data)
+    assert second.transport.disconnecting
+    assert harness.received == []
+
+
 def test_link_without_hello_is_closed_after_timeout():
     harness = _LinkHarness()
     harness.clock.advance(5.0)
