RECOVER: barred requests that may be innocent are tried before the minute is over

Cause: a request that was in flight at each crash looks like one that crashes leaves, and only an answer clears it, which a barred one cannot get. Nothing that happens during the bar could end it.

Change: where several barred requests have the same leaves against them, each is tried from 8 s after its bar began, by one VM at a time, at one leaf, once. An answer clears it on all VMs; one more end makes the bar last. A request that is barred alone is not tried early.

--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -651,12 +651,19 @@
             self.make_cold(leaf_ids, self._sizes.cold_s, started=True)
         self.operator.take_back(zone)
 
-    def crash_leaf(self, leaf_id: str, *, under: bytes = b"") -> None:
-        """End a leaf's process; its successor starts some seconds later.
+    def crash_leaf(
+        self,
+        leaf_id: str,
+        *,
+        under: bytes = b"",
+        restart_s: float = _LEAF_RESTART_S,
+    ) -> None:
+        """End a leaf's process; its successor starts later.
 
         Args:
             leaf_id: Id of the leaf.
             under: Target of the request that crashed it, if one did.
+            restart_s: Seconds until then.
         """
         crashed = self.leaf_by_id[leaf_id]
         if crashed.crashed_at is not None:
@@ -675,7 +682,7 @@
                 for each in self.leaf_by_id.values()
             )
             self.clock.call_later(
-                _LEAF_RESTART_S,
+                restart_s,
                 self.add_leaf,
                 crashed.shard,
                 crashed.replica,
--- a/trefoilpier/forward/environment.py
+++ b/trefoilpier/forward/environment.py
@@ -55,7 +55,7 @@
         ):
             return True
         return context.seems_to_crash_leaves or self.gate.is_barred(
-            context.identity
+            context.identity, on_trial=context.on_trial
         )
 
     def is_held_back(
--- a/trefoilpier/quarantine/evidence.py
+++ b/trefoilpier/quarantine/evidence.py
@@ -21,8 +21,12 @@
 _BAR_MIN_MS = 60_000
 _BAR_GROWTH = 4
 _BAR_MAX_MS = 4 * 3_600_000
+# A request that was in flight as leaves ended for another reason looks the
+# same. One trial before the end of its first bar tells.
+_EARLY_TRIAL_AFTER_MS = 8_000
 # After a bar, one more end renews it for this time.
 _PROBATION_MS = 3_600_000
+_NEVER_MS = 1 << 62
 # Further ends of the same run are no further evidence.
 ENDS_KEPT_PER_RUN = 3
 ENDS_KEPT = 18
@@ -162,10 +166,12 @@
     Attributes:
         standing: What it may do.
         until_ms: Time of the end of its bar; 0 if it has not been barred.
+        trial_from_ms: Time from which one VM may try it although it is barred.
     """
 
     standing: Standing
     until_ms: int = 0
+    trial_from_ms: int = 0
 
 
 _CLEAR = Verdict(standing=Standing.CLEAR)
@@ -197,7 +203,11 @@
     ]
     until_ms = max(map(_compute_bar_end, groups))
     if now_ms < until_ms:
-        return Verdict(standing=Standing.BARRED, until_ms=until_ms)
+        return Verdict(
+            standing=Standing.BARRED,
+            until_ms=until_ms,
+            trial_from_ms=max(map(_compute_early_trial, groups)) or until_ms,
+        )
     if until_ms and now_ms < until_ms + _PROBATION_MS:
         return Verdict(standing=Standing.RELEASED, until_ms=until_ms)
     if ends and now_ms - ends[-1].ended_ms < _SUSPICION_MAX_MS:
@@ -205,6 +215,26 @@
     return _CLEAR
 
 
+def _compute_early_trial(ends: list[LeafEnd]) -> int:
+    """Return from when a trial may precede the end of the first bar.
+
+    Args:
+        ends: The ends, oldest first.
+
+    Returns:
+        The time; 0 if the ends justify no bar. It is infinitely late if a trial
+        has ended a leaf.
+    """
+    for count in range(_ENDS_MIN, len(ends) + 1):
+        if not _compute_bar_end(ends[:count]):
+            continue
+        from_ms = ends[count - 1].ended_ms + _EARLY_TRIAL_AFTER_MS
+        if any(end.sent_ms >= from_ms for end in ends):
+            return _NEVER_MS
+        return from_ms
+    return 0
+
+
 def _compute_bar_end(ends: list[LeafEnd]) -> int:
     """Return when the bar ends that some ends justify; 0 if they do not.
 
--- a/trefoilpier/quarantine/gate.py
+++ b/trefoilpier/quarantine/gate.py
@@ -56,6 +56,8 @@
             was known about them.
         cases: Suspicions of this VM; None if there are none.
         early: Suspicions of all VMs; None if there are none.
+        owns_trial: Returns whether this VM, and no other, may try a request
+            before the end of its bar, so many seconds after others could.
         refused_count: Requests that were refused.
     """
 
@@ -66,6 +68,7 @@
         "canary_count",
         "cases",
         "early",
+        "owns_trial",
         "refused_count",
     )
 
@@ -91,6 +94,9 @@
         self.cases = cases
         self.canary_count = 0
         self._on_trial: set[str] = set()
+        self.owns_trial: Callable[[str, float], bool] = (
+            lambda fingerprint, since_s: False
+        )
         self.refused_count = 0
 
     def admit(
@@ -124,14 +130,38 @@
             if verdict.standing is evidence.Standing.SUSPECT:
                 return _SUSPECT
             return self._admit_unsuspected(fingerprint, now, gathered)
-        if verdict.standing is evidence.Standing.BARRED:
-            left_s = (verdict.until_ms - self._ledger.now_ms()) / 1000
-            return self._refuse(max(_RETRY_AFTER_MIN_S, left_s))
+        if verdict.standing is evidence.Standing.BARRED and not (
+            self._may_try(fingerprint, verdict)
+            and self.owns_trial(fingerprint, self._tried_for_s(verdict))
+        ):
+            return self._refuse(self._barred_for_s(fingerprint, verdict))
         if fingerprint in self._on_trial:
             return self._refuse(_TRIAL_S)
         self._on_trial.add(fingerprint)
         return Admission(suspect=True, on_trial=True)
 
+    def _may_try(self, fingerprint: str, verdict: evidence.Verdict) -> bool:
+        """Return whether a barred request may be tried by one VM."""
+        if self._ledger.now_ms() < verdict.trial_from_ms:
+            return False
+        return self._ledger.is_doubtful(fingerprint)
+
+    def _tried_for_s(self, verdict: evidence.Verdict) -> float:
+        """Return the seconds for which a barred request may have been tried."""
+        return (self._ledger.now_ms() - verdict.trial_from_ms) / 1000
+
+    def _barred_for_s(
+        self, fingerprint: str, verdict: evidence.Verdict
+    ) -> float:
+        """Return the seconds until a barred request may run again."""
+        if self._may_try(fingerprint, verdict):
+            return _TRIAL_S  # Another VM may be trying it.
+        next_ms = verdict.until_ms
+        if self._ledger.is_doubtful(fingerprint):
+            next_ms = min(next_ms, verdict.trial_from_ms)
+        left_s = (next_ms - self._ledger.now_ms()) / 1000
+        return max(_RETRY_AFTER_MIN_S, left_s)
+
     def _admit_early(
         self,
         early: earlies.EarlySuspicions,
@@ -213,10 +243,19 @@
             return lost
         return standing is earlies.EarlyStanding.HELD
 
-    def is_barred(self, identity: replicas.RequestIdentity) -> bool:
-        """Return whether an admitted request may not be sent any more."""
+    def is_barred(
+        self, identity: replicas.RequestIdentity, *, on_trial: bool = False
+    ) -> bool:
+        """Return whether an admitted request may not be sent any more.
+
+        Args:
+            identity: Identity of the request.
+            on_trial: Whether it was admitted as the one trial.
+        """
         verdict = self._ledger.judge(identity.fingerprint)
-        return verdict.standing is evidence.Standing.BARRED
+        if verdict.standing is not evidence.Standing.BARRED:
+            return False
+        return not (on_trial and self._may_try(identity.fingerprint, verdict))
 
     def record_answer(
         self, identity: replicas.RequestIdentity, service: str
--- a/trefoilpier/quarantine/ledger.py
+++ b/trefoilpier/quarantine/ledger.py
@@ -25,6 +25,7 @@
 
     __slots__ = (
         "_clock",
+        "_doubtful",
         "_log",
         "_on_own_change",
         "_shared",
@@ -47,6 +48,8 @@
         self.generation = 0
         self.own_by_fingerprint: dict[str, evidence.RequestRecord] = {}
         self.record_by_fingerprint: dict[str, evidence.RequestRecord] = {}
+        # Barred requests, others of which have the same leaves against them.
+        self._doubtful: set[str] = set()
         # Requests about which other VMs know something.
         self._shared: set[str] = set()
         self._standing_by_fingerprint: dict[str, evidence.Standing] = {}
@@ -66,8 +69,32 @@
             return _CLEAR
         verdict = evidence.judge(record, self.now_ms())
         self._log_standing(fingerprint, record, verdict)
+        if verdict.standing is evidence.Standing.BARRED:
+            self._note_doubt(fingerprint, record)
         return verdict
 
+    def _note_doubt(
+        self, fingerprint: str, record: evidence.RequestRecord
+    ) -> None:
+        """Note that at most one of several barred requests is to blame.
+
+        They were in flight at the same leaves when these ended.
+        """
+        if fingerprint in self._doubtful:
+            return
+        now_ms = self.now_ms()
+        leaves = set(record.counting_leaves)
+        for other_fingerprint, other in self.record_by_fingerprint.items():
+            if other is record or leaves.isdisjoint(other.counting_leaves):
+                continue
+            standing = evidence.judge(other, now_ms).standing
+            if standing is evidence.Standing.BARRED:
+                self._doubtful |= {fingerprint, other_fingerprint}
+
+    def is_doubtful(self, fingerprint: str) -> bool:
+        """Return whether another request may be to blame for a bar."""
+        return fingerprint in self._doubtful
+
     def record_end(
         self,
         identity: replicas.RequestIdentity,
@@ -247,6 +274,7 @@
     def _forget(self, fingerprint: str) -> None:
         if fingerprint not in self.record_by_fingerprint:
             self._standing_by_fingerprint.pop(fingerprint, None)
+            self._doubtful.discard(fingerprint)
             self._shared.discard(fingerprint)
 
     def drop_expired(self) -> bool:
--- a/trefoilpier/quarantine/tests/test_ledger.py
+++ b/trefoilpier/quarantine/tests/test_ledger.py
@@ -127,3 +127,61 @@
 def test_malformed_records_are_read():
     for data in (b"", b"[]", b"{", b'{"f": 1}', b'{"f": {"ends": {}}}', None):
         assert quarantine.decode_records(data).is_error()
+
+
+def bar_together(harness, *names):
+    """Let leaves end under several requests at once."""
+    for k in range(3):
+        for name in names:
+            harness.end_leaf(name, f"leaf-{k}")
+        harness.clock.advance(1.0)
+
+
+def test_one_of_several_barred_requests_waits_for_its_bar_to_end():
+    # Guards against popular requests that stay refused for a minute, since they
+    # were in flight as a service crashed for another reason.
+    harness = Harness()
+    harness.gate.owns_trial = lambda fingerprint, since_s: True
+    bar_together(harness, "a", "b", "c")
+    refusal = harness.gate.admit(identity("a"))
+    assert refusal.refused and refusal.retry_after_s < 8.0
+    harness.clock.advance(8.0)
+    for name in "abc":
+        assert harness.gate.admit(identity(name)).on_trial
+        assert harness.gate.admit(identity(name)).refused
+        assert not harness.gate.is_barred(identity(name), on_trial=True)
+        assert harness.gate.is_barred(identity(name))
+        harness.gate.record_answer(identity(name), "s")
+        harness.gate.end_trial(identity(name))
+        assert not harness.gate.admit(identity(name)).refused
+
+
+def test_early_trial_is_made_by_each_vm():
+    harness = Harness()
+    bar_together(harness, "a", "b")
+    harness.clock.advance(9.0)
+    assert harness.gate.admit(identity("a")).refused
+
+
+def test_early_trial_that_ends_a_leaf_is_repeated():
+    harness = Harness()
+    harness.gate.owns_trial = lambda fingerprint, since_s: True
+    bar_together(harness, "a", "b")
+    harness.clock.advance(9.0)
+    assert harness.gate.admit(identity("a")).on_trial
+    harness.end_leaf("a", "leaf-9")
+    harness.gate.end_trial(identity("a"))
+    assert harness.gate.is_barred(identity("a"), on_trial=True)
+    for _ in range(50):
+        harness.clock.advance(1.0)
+        assert harness.gate.admit(identity("a")).refused
+
+
+def test_request_that_alone_ends_leaves_is_tried_early():
+    harness = Harness()
+    harness.gate.owns_trial = lambda fingerprint, since_s: True
+    harness.bar("poison")
+    harness.bar("other")
+    for _ in range(50):
+        harness.clock.advance(1.0)
+        assert harness.gate.admit(identity("poison")).refused
--- a/trefoilpier/tier/tests/test_crashing_requests.py
+++ b/trefoilpier/tier/tests/test_crashing_requests.py
@@ -7,6 +7,7 @@
 from trefoilpier import base, http1
 from trefoilpier.tier import quarantine_pages
 
+LOOP_TARGETS = (b"/r/1", b"/r/2", b"/r/3")
 _GAP_S = 1.2  # Between two requests that crash leaves.
 
 
@@ -97,6 +98,46 @@
     assert all(each.whole for each in answers)
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    ("down_s", "up_s"), [(0.7, 0.2), (0.7, 0.1), (1.2, 0.2)]
+)
+def test_crash_loop_of_a_service_bars_what_was_in_flight_for_long(
+    tmp_path, down_s, up_s, seed
+):
+    # Guards against popular requests that are refused for a minute, since they
+    # were in flight at each crash of a loop: in review/6 all were refused, also
+    # after the service was sound and all VMs had been restarted.
+    fleet = memory_fleet.MemoryFleet(
+        directory=tmp_path,
+        log=memory_tier.RecordingLog(),
+        sizes=memory_fleet.FleetSizes(
+            large=3, small=0, zones=1, shards=1, work_s=0.22
+        ),
+        seed=seed,
+    )
+    fleet.start_all()
+    fleet.clock.advance(3.0)
+    for number in range(4):
+        at = 2.0 + number * (down_s + up_s)
+        fleet.clock.call_later(at, crash_shard, fleet, 0, down_s)
+    fleet.run_load(
+        seconds=4.0 + 4 * (down_s + up_s), rate=24.0, targets=LOOP_TARGETS
+    )
+    fleet.kill_all()
+    fleet.start_all()
+    fleet.run_load(seconds=12.0, rate=18.0, targets=LOOP_TARGETS)
+    answers = fleet.run_load(seconds=4.0, rate=18.0, targets=LOOP_TARGETS)
+    served = sum(each.status == 200 for each in answers)
+    assert served >= 0.9 * len(answers)
+
+
+def crash_shard(fleet, shard, restart_s):
+    for leaf_id, each in list(fleet.leaf_by_id.items()):
+        if each.stays and each.shard == shard:
+            fleet.crash_leaf(leaf_id, restart_s=restart_s)
+
+
 def crash_all(fleet):
     for leaf_id, each in list(fleet.leaf_by_id.items()):
         if each.stays:
--- a/trefoilpier/tier/tests/test_silent_store.py
+++ b/trefoilpier/tier/tests/test_silent_store.py
@@ -74,6 +74,21 @@
 ):
     # Guards against one VM that sends requests to a leaf that has left, since
     # it waits for a watch that the store never got: in review/9 for 0.7 s.
+    check_that_leaves(harness, announced, silent_s, silent_after_s)
+
+
+@pytest.mark.parametrize("silent_s", [4.0 + 0.1 * k for k in range(52)])
+def test_leaf_that_left_silently_is_used_after_a_long_silence(
+    harness, silent_s
+):
+    # Guards against a grace period that begins late, with the first read that
+    # gets a response: in review/10 a leaf that its peers knew to be gone was
+    # used for 12 s, and 0.25 s of it by a VM in touch.
+    check_that_leaves(harness, False, silent_s, 0.1)
+
+
+def check_that_leaves(harness, announced, silent_s, silent_after_s):
+    """Let a leaf leave before a silence to one VM, and check its last use."""
     fleet = harness.fleet
     leaf_id = next(iter(fleet.leaf_by_id))
     fleet.write_routes()
@@ -85,7 +100,9 @@
     left_at = harness.clock.monotonic()
     vm = fleet.vms[0]
     harness.silence(silent_after_s, silent_s, [vm])
-    fleet.run_load(seconds=10.0, rate=100.0, targets=(b"/r/1", b"/w/1"))
     in_touch_s = silent_after_s + silent_s + CONTACT_S
+    fleet.run_load(
+        seconds=in_touch_s + 2.0, rate=60.0, targets=(b"/r/1", b"/w/1")
+    )
     used_s = fleet.leaf_by_id[leaf_id].leaf.last_request_at - left_at
     assert used_s <= max(DRAIN_S, in_touch_s)
--- a/trefoilpier/tier/vm.py
+++ b/trefoilpier/tier/vm.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from trefoilpier.tier import shared_limits
 
+_TRIAL_TURN_S = 1.5  # Of one VM, for a request that is barred.
 _WARM_PAUSE_S = 0.5  # Between rounds of opening connections in advance.
 _READY_WAIT_MAX_S = 1.5  # Longest wait for leaves after the first load.
 
@@ -123,6 +124,7 @@
         self._guard = crash_guard.CrashGuard(
             clock=clock, log=log, rng=rng, vm_id=boot.node_id
         )
+        self._guard.gate.owns_trial = self._owns_trial
         self._guard.early.on_news = lambda: self.state_handler.notify_waiting()
         self.ledger = self._guard.ledger
         self._evidence_sync = quarantine_sync.QuarantineSync(
@@ -327,6 +329,21 @@
             self._boot.node_id
         )
 
+    def _owns_trial(self, fingerprint: str, since_s: float) -> bool:
+        """Return whether it is this VM's turn to try what all VMs bar.
+
+        The request may reach some VMs only. Within a turn, all learn of a leaf
+        that has ended under a trial.
+        """
+        order = sorted(
+            self._selection.selected,
+            key=lambda record: base.stable_hash(fingerprint + record.id),
+        )
+        if not order:
+            return False
+        turn = int(since_s / _TRIAL_TURN_S) % len(order)
+        return order[turn].id == self._boot.node_id
+
     def _apply_routes(self, table: routes.RouteTable) -> None:
         self._engine.table = table
         self._used_services = table.used_services
