--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -58,6 +58,10 @@
 _RECORDS_EXPIRE_SHARE = 0.3  # Runs in which VMs' records expire in the end.
 _RECORDS_EXPIRE_S = 24.0  # Until all are registered again.
 _SILENCES_MAX = 2  # Of the store, once the fleet has recovered.
+_ODD_TIMES = 2  # Times in a run in which leaves answer with odd statuses.
+_ODD_SHARE_RANGE = (0.05, 0.5)
+_ODD_RANGE_S = (0.5, 2.0)
+_STATUSES = frozenset((0, *range(200, 600)))  # 0 for a lost connection.
 _RESETS = 2  # Times in a run in which leaves reset answers and run on.
 _RESET_LEAVES_SHARE = 0.5
 _RESET_ANSWERS_RANGE = (0.05, 0.6)
@@ -103,6 +107,7 @@
         "_kept_rng",
         "_log",
         "_next_replica",
+        "_odd_rng",
         "_outages_by_vm",
         "_rng",
         "_reset_rng",
@@ -129,6 +134,7 @@
         self._rng = random.Random(seed)
         # Drawn apart, so that the other faults of a seed stay the same.
         self._reset_rng = random.Random(f"resets {seed}")
+        self._odd_rng = random.Random(f"odd statuses {seed}")
         self._gatherers_rng = random.Random(f"gatherers {seed}")
         self._kept_rng = random.Random(f"kept {seed}")
         self._kept_count = 0
@@ -187,6 +193,9 @@
         for _ in range(_RESETS):
             at = self._reset_rng.uniform(0.0, _FAULTS_S)
             self.fleet.clock.call_later(at, self._reset_answers)
+        for _ in range(_ODD_TIMES):
+            at = self._odd_rng.uniform(0.0, _FAULTS_S)
+            self.fleet.clock.call_later(at, self._answer_oddly)
         at = self._sequence_rng.uniform(*_SEQUENCE_FROM_RANGE_S)
         self.fleet.clock.call_later(at, self._begin_sequence)
         self._send_kept()
@@ -378,6 +387,28 @@
         at = self.fleet.clock.monotonic() - self._started_at
         self.applied.append(f"{at:6.2f} {name}")
 
+    def _answer_oddly(self) -> None:
+        """Let leaves answer some requests with a status that is none."""
+        rng = self._odd_rng
+        leaves = [
+            each.leaf
+            for each in self.fleet.leaf_by_id.values()
+            if each.stays and rng.random() < _RESET_LEAVES_SHARE
+        ]
+        share = rng.uniform(*_ODD_SHARE_RANGE)
+        seconds = rng.uniform(*_ODD_RANGE_S)
+
+        def set_share(value: float) -> None:
+            for leaf in leaves:
+                leaf.faults.odd_share = value
+
+        set_share(share)
+        self.fleet.clock.call_later(seconds, set_share, 0.0)
+        self._note_applied(
+            f"{len(leaves)} leaves answer {share:.2f} of their requests oddly "
+            f"for {seconds:.1f} s"
+        )
+
     def _reset_answers(self) -> None:
         """Let leaves reset a share of their answers; none of them ends."""
         rng = self._reset_rng
@@ -442,6 +473,9 @@
     def _violations(
         self, answers: list[memory_fleet.FleetAnswer]
     ) -> Iterator[str]:
+        odd = {each.status for each in self.fleet.answers} - _STATUSES
+        if odd:
+            yield f"callers got the statuses {sorted(odd)}"
         for caller in self._kept_callers:
             yield from caller.violations
         yield from self._check_routes_never_go_back()
