--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -62,8 +62,8 @@
 _ODD_SHARE_RANGE = (0.05, 0.5)
 _ODD_RANGE_S = (0.5, 2.0)
 _STATUSES = frozenset((0, *range(200, 600)))  # 0 for a lost connection.
+_FAULTY_LEAVES_SHARE = 0.5
 _RESETS = 2  # Times in a run in which leaves reset answers and run on.
-_RESET_LEAVES_SHARE = 0.5
 _RESET_ANSWERS_RANGE = (0.05, 0.6)
 _RESET_RANGE_S = (1.0, 3.0)
 # Requests over kept connections, in forms that are drawn.
@@ -389,47 +389,46 @@
 
     def _answer_oddly(self) -> None:
         """Let leaves answer some requests with a status that is none."""
-        rng = self._odd_rng
-        leaves = [
-            each.leaf
-            for each in self.fleet.leaf_by_id.values()
-            if each.stays and rng.random() < _RESET_LEAVES_SHARE
-        ]
-        share = rng.uniform(*_ODD_SHARE_RANGE)
-        seconds = rng.uniform(*_ODD_RANGE_S)
-
-        def set_share(value: float) -> None:
-            for leaf in leaves:
-                leaf.faults.odd_share = value
-
-        set_share(share)
-        self.fleet.clock.call_later(seconds, set_share, 0.0)
-        self._note_applied(
-            f"{len(leaves)} leaves answer {share:.2f} of their requests oddly "
-            f"for {seconds:.1f} s"
+        told = self._set_fault(
+            self._odd_rng, "odd_share", _ODD_SHARE_RANGE, _ODD_RANGE_S
         )
+        self._note_applied(f"{told} have an odd status")
 
     def _reset_answers(self) -> None:
         """Let leaves reset a share of their answers; none of them ends."""
-        rng = self._reset_rng
+        told = self._set_fault(
+            self._reset_rng,
+            "lose_share",
+            _RESET_ANSWERS_RANGE,
+            _RESET_RANGE_S,
+        )
+        self._note_applied(f"{told} are reset")
+
+    def _set_fault(
+        self,
+        rng: random.Random,
+        name: str,
+        share_range: tuple[float, float],
+        range_s: tuple[float, float],
+    ) -> str:
+        """Set a fault of half of the leaves for a while; return a text."""
         leaves = [
             each.leaf
             for each in self.fleet.leaf_by_id.values()
-            if each.stays and rng.random() < _RESET_LEAVES_SHARE
+            if each.stays and rng.random() < _FAULTY_LEAVES_SHARE
         ]
-        share = rng.uniform(*_RESET_ANSWERS_RANGE)
-        seconds = rng.uniform(*_RESET_RANGE_S)
+        share = rng.uniform(*share_range)
+        seconds = rng.uniform(*range_s)
 
         def set_share(value: float) -> None:
             for leaf in leaves:
-                leaf.faults.lose_share = value
+                setattr(leaf.faults, name, value)
 
         set_share(share)
         self.fleet.clock.call_later(seconds, set_share, 0.0)
-        at = self.fleet.clock.monotonic() - self._started_at
-        self.applied.append(
-            f"{at:6.2f} {len(leaves)} leaves reset {share:.2f} of their "
-            f"answers for {seconds:.1f} s"
+        return (
+            f"for {seconds:.1f} s {share:.2f} of the answers of "
+            f"{len(leaves)} leaves"
         )
 
     def _leaves_crash(self) -> str:
--- a/trefoilpier/http1/server.py
+++ b/trefoilpier/http1/server.py
@@ -1,8 +1,6 @@
 """HTTP/1.1 server for callers."""
 
 import abc
-import socket
-import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,7 +10,13 @@
 from twisted.internet import protocol
 
 from trefoilpier import base
-from trefoilpier.http1 import body_buffer, buffer_budget, message
+from trefoilpier.http1 import (
+    body_buffer,
+    buffer_budget,
+    message,
+    request_head,
+    tcp_info,
+)
 
 _TIMEOUT_SWEEP_PERIOD_S = 0.25  # Precision of the request and idle timeouts.
 # With more in the queue, reading pauses.
@@ -26,14 +30,8 @@
 _RETRY_AFTER_S = b"1"  # Of a request that there is no memory for.
 _STATUS_UNAVAILABLE = 503
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
-# Position of ``tcpi_rtt``, the round trip time in microseconds, in Linux's
-# ``struct tcp_info``.
-_TCP_INFO_BYTES = 104
-_TCP_INFO_RTT = struct.Struct("I")
-_TCP_INFO_RTT_OFFSET = 68
 _MAX_HEADERS = 1000  # Each takes time and memory, however short it is.
 _HEADER_FRAMING_BYTES = 4  # Separator, space and line break.
-_UNSUPPORTED_METHODS = frozenset((b"CONNECT", b"TRACE"))
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -125,10 +123,10 @@
         self._headers: message.Headers = []
         self._target = b""
         self._body = body_buffer.BodyBuffer()
-        # Bytes since the last element of a request that was complete: its
-        # head, a part of its body, or all of it.
         self._header_bytes = 0
         self._header_count = 0
+        # Bytes since the last element of a request that was complete: its
+        # head, a part of its body, or all of it.
         self._pending_bytes = 0
         self._in_headers = False
         self._in_request = False
@@ -151,7 +149,7 @@
         self.transport.bufferSize = _READ_MAX_BYTES
         self.transport.registerProducer(self, True)
         self._parser = httptools.HttpRequestParser(self)
-        self._rtt_s = _handshake_rtt_s(self.transport.getHandle())
+        self._rtt_s = tcp_info.handshake_rtt_s(self.transport.getHandle())
         self._start_idle_wait()
         self._factory.connections.add(self)
 
@@ -273,7 +271,7 @@
         if self._header_bytes + len(self._target) > self._header_limit:
             self._reject_and_stop_parser(431, "headers too large")
         self._header_bytes = 0  # Those of the trailers count anew.
-        header_error = _find_header_error(self._headers, self._parser)
+        header_error = request_head.find_error(self._headers, self._parser)
         if header_error:
             self._reject_and_stop_parser(400, header_error)
         if self._target[:1] != b"/":
@@ -285,7 +283,9 @@
             self._reject_and_stop_parser(413, "body too large")
         if self._parser.should_upgrade():
             return  # The head is parsed again.
-        self._continue_due = _expects_continue(self._headers, self._parser)
+        self._continue_due = request_head.expects_continue(
+            self._headers, self._parser
+        )
 
     def _reject_and_stop_parser(self, status: int, reason: str) -> None:
         """Reject the request and stop the parser by raising ValueError.
@@ -484,65 +484,6 @@
         self.transport.abortConnection()
 
 
-def _handshake_rtt_s(handle: Any) -> float:
-    """Return the round trip time of the TCP handshake in seconds.
-
-    It is 0.0 if the kernel does not tell.
-    """
-    if not isinstance(handle, socket.socket):
-        return 0.0  # A test transport without a socket.
-    try:
-        info = handle.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
-        )
-    except OSError:
-        return 0.0  # Not Linux, or the connection is already closed.
-    if len(info) < _TCP_INFO_BYTES:
-        return 0.0
-    return _TCP_INFO_RTT.unpack_from(info, _TCP_INFO_RTT_OFFSET)[0] / 1e6
-
-
-def _find_header_error(headers: message.Headers, parser: Any) -> str:
-    """Return why the headers are ambiguous or unsupported, or ``""``."""
-    names = [name for name, _ in headers]
-    if any(b"\r" in value or b"\n" in value for _, value in headers):
-        return "header value contains a line break"
-    version = parser.get_http_version()
-    if version not in ("1.0", "1.1"):
-        return "unsupported HTTP version"
-    if names.count(b"host") != 1:
-        return "exactly one Host header is required"
-    lengths = names.count(b"content-length")
-    codings = [
-        coding.lower()
-        for header, coding in headers
-        if header == b"transfer-encoding"
-    ]
-    if lengths > 1 or (lengths and codings):
-        return "conflicting headers for the body length"
-    if codings and codings != [b"chunked"]:
-        return "unsupported transfer coding"
-    if codings and version == "1.0":
-        return "transfer coding in an HTTP/1.0 request"
-    if parser.get_method() in _UNSUPPORTED_METHODS:
-        return "method is not supported"
-    return ""
-
-
-def _expects_continue(headers: message.Headers, parser: Any) -> bool:
-    """Return whether the caller waits for an interim response with its body.
-
-    One of HTTP/1.0 does not know them (RFC 9110, section 10.1.1).
-    """
-    expect = message.find_header(headers, b"expect") or b""
-    if expect.lower() != b"100-continue":
-        return False
-    length = message.find_header(headers, b"content-length") or b"0"
-    chunked = message.find_header(headers, b"transfer-encoding") is not None
-    has_body = chunked or int(length) > 0
-    return has_body and parser.get_http_version() != "1.0"
-
-
 class ServerFactory(protocol.Factory):
     """Factory for the connections of one listening address.
 
