--- a/standins/platform.py
+++ b/standins/platform.py
@@ -49,10 +49,11 @@
 
     def _is_silent(self, request: httpd.HttpRequest) -> bool:
         """Return whether the sender of a request gets no response now."""
-        transport = request.connection.transport
-        source = getattr(transport, "source", "")
         faults = self._model.faults
-        return faults.silent or source in faults.silent_to
+        if faults.silent or not faults.silent_to:
+            return faults.silent
+        transport = request.connection.transport
+        return getattr(transport, "source", "") in faults.silent_to
 
     def _dispatch(self, request: httpd.HttpRequest) -> None:
         if self._model.faults.down:
