--- a/trefoilpier/http1/tests/test_server.py
+++ b/trefoilpier/http1/tests/test_server.py
@@ -329,6 +329,43 @@
     assert client.statuses() == [200]
 
 
+@pytest.mark.parametrize(
+    "method",
+    [b"GET", b"HEAD", b"POST", b"PUT", b"PATCH", b"DELETE", b"OPTIONS"],
+)
+@pytest.mark.parametrize(
+    "headers",
+    [
+        b"Upgrade: h2c\r\nConnection: Upgrade\r\n",
+        b"upgrade: websocket\r\nconnection: keep-alive, upgrade\r\n",
+        b"Connection: Upgrade\r\nUpgrade: h2c, websocket\r\n",
+        b"Connection: UPGRADE\r\nUpgrade: h2c\r\nUpgrade: TLS/1.0\r\n",
+        b"Connection: Upgrade\r\nConnection: HTTP2-Settings\r\nUpgrade: x\r\n",
+        b"Upgrade: h2c\r\n",
+        b"Connection: Upgrade\r\n",
+    ],
+)
+def test_each_form_of_an_upgrade_is_served_and_keeps_its_connection(
+    method, headers
+):
+    harness = ServerHarness()
+    client = harness.connect()
+    head = b"%b /a HTTP/1.1\r\nHost: h\r\n%b" % (method, headers)
+    for framing in (
+        b"\r\n",
+        b"Content-Length: 3\r\n\r\nabc",
+        b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    ):
+        harness.send(client, head + framing)
+    assert client.statuses() == [200] * 3
+    assert [each.body for each in harness.handler.requests] == [
+        b"",
+        b"abc",
+        b"abc",
+    ]
+    assert not client.closed
+
+
 @pytest.mark.parametrize("connection", [b"close", b"Upgrade, close"])
 def test_request_to_upgrade_may_close_the_connection(connection):
     harness = ServerHarness()
